--- /dev/null
+++ b/chestnutstage/src/accounts.rs
@@ -0,0 +1,119 @@
+//! Customers' token rates, shared by all instances.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use chestnutstage_core::contract::{Bucket, Contract, Short};
+use chestnutstage_core::ids::{CustomerId, InstanceId};
+use chestnutstage_core::length::Tokens;
+use chestnutstage_core::outcome::Refusal;
+use chestnutstage_core::rendezvous;
+
+use crate::link::message::{Reply, Request};
+use crate::shared::{Shared, lock};
+
+/// Time limit of a loan from another instance.
+const LOAN_LIMIT: Duration = Duration::from_millis(200);
+
+/// Buckets of one instance.
+#[derive(Debug, Default)]
+pub(crate) struct Accounts {
+    local: Mutex<HashMap<CustomerId, Bucket>>,
+    home: Mutex<HashMap<CustomerId, Bucket>>,
+}
+
+impl Accounts {
+    /// Charges a request to its customer.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Contract`] if the rate is used up.
+    pub(crate) async fn charge(
+        &self,
+        shared: &Arc<Shared>,
+        customer: &CustomerId,
+        contract: &Contract,
+        cost: Tokens,
+    ) -> Result<(), Refusal> {
+        let Err(short) = self.spend(shared, customer, contract, cost) else {
+            return Ok(());
+        };
+        let lent = self.borrow(shared, customer, short.borrow).await;
+        if let Some(bucket) = lock(&self.local).get_mut(customer) {
+            bucket.credit(lent);
+        }
+        self.spend(shared, customer, contract, cost)
+            .map_err(|short| Refusal::Contract { retry: short.retry })
+    }
+
+    fn spend(
+        &self,
+        shared: &Shared,
+        customer: &CustomerId,
+        contract: &Contract,
+        cost: Tokens,
+    ) -> Result<(), Short> {
+        let now = shared.clock.now();
+        let instances = shared.roster.borrow().share.map_or(1, |s| s.roster);
+        let mut buckets = lock(&self.local);
+        let bucket = buckets
+            .entry(customer.clone())
+            .or_insert_with(|| Bucket::local(now, contract, instances));
+        bucket.spend(now, cost, contract)
+    }
+
+    async fn borrow(&self, shared: &Arc<Shared>, customer: &CustomerId, amount: Tokens) -> Tokens {
+        let Some(home) = home(shared, customer) else {
+            return Tokens(0);
+        };
+        if home == *shared.me() {
+            return self.lend(shared, customer, amount);
+        }
+        let target = shared.roster.borrow().target(&home);
+        let Some(target) = target else { return Tokens(0) };
+        let request = Request::Borrow {
+            customer: customer.clone(),
+            amount,
+        };
+        match shared.adapters.links.call(&target, request, LOAN_LIMIT).await {
+            Ok(Reply::Lent(lent)) => lent,
+            _ => Tokens(0),
+        }
+    }
+
+    /// Lends from the part of a customer's rate whose home is here.
+    pub(crate) fn lend(&self, shared: &Shared, customer: &CustomerId, amount: Tokens) -> Tokens {
+        let now = shared.clock.now();
+        let snapshot = shared.config.snapshot();
+        let contract = snapshot.contract(customer);
+        let mut buckets = lock(&self.home);
+        buckets
+            .entry(customer.clone())
+            .or_insert_with(|| Bucket::home(now, contract))
+            .lend(now, amount)
+    }
+
+    /// Forgets all buckets after contracts or the roster have changed.
+    pub(crate) fn reset(&self) {
+        lock(&self.local).clear();
+        lock(&self.home).clear();
+    }
+}
+
+/// Instance that keeps the shared part of a customer's rate.
+fn home(shared: &Shared, customer: &CustomerId) -> Option<InstanceId> {
+    let roster = shared.roster.borrow().clone();
+    let owners = roster.members.iter().filter(|m| {
+        matches!(
+            m.health,
+            chestnutstage_core::members::Health::Alive | chestnutstage_core::members::Health::Suspect
+        )
+    });
+    rendezvous::owner(
+        customer.as_str(),
+        &shared.settings.instance.zone,
+        owners.map(|m| (&m.id, &shared.settings.instance.zone)),
+    )
+    .cloned()
+}
--- /dev/null
+++ b/chestnutstage/src/dump.rs
@@ -0,0 +1,45 @@
+//! Dumps of the process's state, and explanations of what it did.
+
+use std::sync::atomic::Ordering;
+
+use chestnutstage_core::ids::RequestId;
+use kameo::actor::ActorRef;
+use serde_json::{Value, json};
+
+use crate::actor::owner::{Dump, OwnerActor};
+use crate::shared::{Shared, lock};
+
+/// Decisions shown in a dump.
+const DECISIONS: usize = 200;
+
+/// All that the process knows, as far as operators need it.
+pub(crate) async fn state(shared: &Shared, owner: &ActorRef<OwnerActor>) -> Value {
+    let now = shared.clock.now();
+    let roster = shared.roster.borrow().clone();
+    let endpoints = owner.ask(Dump).await.unwrap_or_default();
+    let (version, newest, current, fresh) = {
+        let currency = lock(&shared.config.currency);
+        (
+            currency.version(),
+            currency.newest(),
+            currency.is_current(now),
+            currency.fresh(now),
+        )
+    };
+    json!({
+        "instance": shared.settings.instance,
+        "uptime_ms": now.as_millis(),
+        "leaving": shared.is_leaving(),
+        "open_requests": shared.open.load(Ordering::Relaxed),
+        "config": {"version": version, "newest": newest, "current": current, "fresh": fresh},
+        "members": roster.members,
+        "share": roster.share,
+        "owner": endpoints,
+        "decisions": shared.journal.last(DECISIONS),
+    })
+}
+
+/// What was decided here about a request.
+pub(crate) fn explain(shared: &Shared, request: RequestId) -> Value {
+    json!({"instance": shared.me(), "decisions": shared.journal.about(request)})
+}
--- /dev/null
+++ b/chestnutstage/src/engine/http.rs
@@ -0,0 +1,366 @@
+//! Endpoints over HTTP: the usual completion API with server-sent events, and plain calls.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chestnutstage_core::endpoint::Report;
+use chestnutstage_core::ids::{BootId, RequestId};
+use chestnutstage_core::once::Answer;
+use chestnutstage_core::outcome::{SendEvent, Sending};
+use chestnutstage_core::stream::Piece;
+use eventsource_stream::Eventsource;
+use futures::future::BoxFuture;
+use futures::{FutureExt, StreamExt};
+use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use super::{Call, EndpointError, EnginePiece, Engines, Holding, Opened, Ordered, Services, Start, Step};
+
+/// Time for which an unused connection is kept, shorter than any middlebox's.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Time limit for a connection to open.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Time limit of a control call.
+const CONTROL_LIMIT: Duration = Duration::from_secs(1);
+
+/// Client of engines and services.
+#[derive(Debug, Clone)]
+pub(crate) struct HttpEndpoints {
+    pooled: Client,
+    /// Opens a new connection for each call.
+    fresh: Client,
+}
+
+impl HttpEndpoints {
+    /// A client.
+    ///
+    /// # Errors
+    ///
+    /// The client can't be made.
+    pub(crate) fn new() -> Result<Self, reqwest::Error> {
+        let builder = || {
+            Client::builder()
+                .connect_timeout(CONNECT_LIMIT)
+                .tcp_keepalive(IDLE_LIMIT)
+                .tcp_nodelay(true)
+                .no_proxy()
+        };
+        Ok(Self {
+            pooled: builder().pool_idle_timeout(IDLE_LIMIT).build()?,
+            fresh: builder().pool_max_idle_per_host(0).build()?,
+        })
+    }
+
+    async fn control(
+        &self,
+        step: Step,
+        peer: &str,
+        request: RequestBuilder,
+    ) -> Result<Response, EndpointError> {
+        let response = request
+            .timeout(CONTROL_LIMIT)
+            .send()
+            .await
+            .map_err(|e| failed(step, peer, &e))?;
+        let status = response.status();
+        if status.is_server_error() && status != StatusCode::INSUFFICIENT_STORAGE {
+            return Err(EndpointError {
+                reason: status.to_string(),
+                ..error(step, peer, Sending::Started)
+            });
+        }
+        Ok(response)
+    }
+}
+
+fn error(step: Step, peer: &str, sending: Sending) -> EndpointError {
+    EndpointError {
+        step,
+        peer: peer.to_owned(),
+        reason: String::new(),
+        sending,
+        missing: false,
+    }
+}
+
+fn failed(step: Step, peer: &str, cause: &reqwest::Error) -> EndpointError {
+    let event = if cause.is_connect() || cause.is_builder() {
+        SendEvent::ConnectFailed
+    } else {
+        SendEvent::Broken
+    };
+    EndpointError {
+        reason: cause.to_string(),
+        ..error(step, peer, Sending::Before.after(event))
+    }
+}
+
+/// Judges an answer that is no success: the endpoint may have declined in binding terms.
+async fn declined(step: Step, peer: &str, response: Response) -> EndpointError {
+    let status = response.status();
+    let body: Value = response.json().await.unwrap_or_default();
+    let event = if body["outcome"] == "not_run" {
+        SendEvent::Declined
+    } else {
+        SendEvent::Broken
+    };
+    let reason = body["error"]
+        .as_str()
+        .map_or_else(|| status.to_string(), |e| format!("{status}: {e}"));
+    EndpointError {
+        reason,
+        missing: status == StatusCode::NOT_FOUND,
+        ..error(step, peer, Sending::Before.after(event))
+    }
+}
+
+async fn body<T: DeserializeOwned>(step: Step, peer: &str, response: Response) -> Result<T, EndpointError> {
+    response.json().await.map_err(|e| failed(step, peer, &e))
+}
+
+/// Opens the answer's stream of pieces.
+async fn opened(step: Step, peer: String, response: Response) -> Result<Opened, EndpointError> {
+    if !response.status().is_success() {
+        return Err(declined(step, &peer, response).await);
+    }
+    let boot = response
+        .headers()
+        .get("x-boot-id")
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.parse().ok());
+    let boot = BootId(boot.unwrap_or_default());
+    let pieces = response
+        .bytes_stream()
+        .eventsource()
+        .filter(|event| std::future::ready(event.as_ref().map_or(true, |e| e.data != "[DONE]")))
+        .map(move |event| {
+            let event = event.map_err(|e| EndpointError {
+                reason: e.to_string(),
+                ..error(Step::Read, &peer, Sending::Started)
+            })?;
+            piece(&event, boot).ok_or_else(|| EndpointError {
+                reason: "malformed piece".into(),
+                ..error(Step::Read, &peer, Sending::Started)
+            })
+        })
+        .boxed();
+    Ok(Opened { boot, pieces })
+}
+
+/// Reads a piece; its event id is the request and the offset.
+fn piece(event: &eventsource_stream::Event, boot: BootId) -> Option<EnginePiece> {
+    let (request, offset) = event.id.split_once(':')?;
+    let request = RequestId(u128::from_str_radix(request, 16).ok()?);
+    let offset = offset.parse().ok()?;
+    let chunk: Value = serde_json::from_str(&event.data).ok()?;
+    let choice = chunk.get("choices")?.get(0)?;
+    let text = choice["delta"]["content"]
+        .as_str()
+        .or_else(|| choice["text"].as_str())
+        .unwrap_or_default();
+    let last = choice["finish_reason"].is_string();
+    let cached = chunk["usage"]["prompt_tokens_details"]["cached_tokens"].as_u64();
+    Some(EnginePiece {
+        piece: Piece {
+            request,
+            boot,
+            offset,
+            text: text.to_owned(),
+            last,
+        },
+        cached,
+        chunk,
+    })
+}
+
+impl Engines for HttpEndpoints {
+    type Report = Report;
+
+    fn start<'a>(&'a self, address: &'a str, start: Start) -> BoxFuture<'a, Result<Opened, EndpointError>> {
+        async move {
+            let path = if start.chat {
+                "chat/completions"
+            } else {
+                "completions"
+            };
+            let mut request = self
+                .pooled
+                .post(format!("http://{address}/v1/{path}"))
+                .header("content-type", "application/json")
+                .header("x-request-id", start.request.to_string())
+                .header("x-priority", u16::from(start.priority))
+                .header("x-deadline-ms", start.remaining.as_millis() as u64)
+                .body(start.body);
+            if let Some(prefix) = start.prefix {
+                request = request.header("x-prefix", prefix);
+            }
+            let response = request
+                .send()
+                .await
+                .map_err(|e| failed(Step::Start, address, &e))?;
+            opened(Step::Start, address.to_owned(), response).await
+        }
+        .boxed()
+    }
+
+    fn resume<'a>(
+        &'a self,
+        address: &'a str,
+        request: RequestId,
+        offset: u64,
+    ) -> BoxFuture<'a, Result<Opened, EndpointError>> {
+        async move {
+            let url = format!("http://{address}/v1/streams/{request}?from={offset}");
+            let response = self
+                .fresh
+                .get(url)
+                .send()
+                .await
+                .map_err(|e| failed(Step::Resume, address, &e))?;
+            opened(Step::Resume, address.to_owned(), response).await
+        }
+        .boxed()
+    }
+
+    fn cancel<'a>(
+        &'a self,
+        address: &'a str,
+        request: RequestId,
+    ) -> BoxFuture<'a, Result<(), EndpointError>> {
+        async move {
+            let request = self
+                .fresh
+                .delete(format!("http://{address}/v1/streams/{request}"));
+            self.control(Step::Cancel, address, request).await.map(drop)
+        }
+        .boxed()
+    }
+
+    fn load<'a>(&'a self, address: &'a str) -> BoxFuture<'a, Result<Report, EndpointError>> {
+        async move {
+            let request = self.pooled.get(format!("http://{address}/load"));
+            let response = self.control(Step::Load, address, request).await?;
+            body(Step::Load, address, response).await
+        }
+        .boxed()
+    }
+
+    fn holdings<'a>(
+        &'a self,
+        address: &'a str,
+    ) -> BoxFuture<'a, Result<BTreeMap<String, Holding>, EndpointError>> {
+        async move {
+            let request = self.pooled.get(format!("http://{address}/kv"));
+            let response = self.control(Step::Memory, address, request).await?;
+            body(Step::Memory, address, response).await
+        }
+        .boxed()
+    }
+
+    fn reserve<'a>(
+        &'a self,
+        address: &'a str,
+        name: &'a str,
+        holding: Holding,
+    ) -> BoxFuture<'a, Result<bool, EndpointError>> {
+        async move {
+            let request = self
+                .pooled
+                .put(format!("http://{address}/kv/{name}"))
+                .json(&holding);
+            let response = self.control(Step::Memory, address, request).await?;
+            Ok(response.status().is_success())
+        }
+        .boxed()
+    }
+
+    fn prefill<'a>(
+        &'a self,
+        address: &'a str,
+        name: &'a str,
+        import: Option<String>,
+        limit: Duration,
+    ) -> BoxFuture<'a, Result<(), EndpointError>> {
+        async move {
+            let request = self.fresh.post(format!("http://{address}/kv/{name}/prefill"));
+            let request = request.json(&json!({"import": import})).timeout(limit);
+            let response = request
+                .send()
+                .await
+                .map_err(|e| failed(Step::Memory, address, &e))?;
+            if response.status().is_success() {
+                Ok(())
+            } else {
+                Err(declined(Step::Memory, address, response).await)
+            }
+        }
+        .boxed()
+    }
+
+    fn free<'a>(&'a self, address: &'a str, name: &'a str) -> BoxFuture<'a, Result<(), EndpointError>> {
+        async move {
+            let request = self.fresh.delete(format!("http://{address}/kv/{name}"));
+            self.control(Step::Memory, address, request).await.map(drop)
+        }
+        .boxed()
+    }
+
+    fn order<'a>(
+        &'a self,
+        address: &'a str,
+        fencing: u64,
+        order: Value,
+    ) -> BoxFuture<'a, Result<Ordered, EndpointError>> {
+        async move {
+            let request = self.fresh.post(format!("http://{address}/orders"));
+            let request = request.json(&json!({"fencing": fencing, "order": order}));
+            let response = self.control(Step::Order, address, request).await?;
+            Ok(if response.status() == StatusCode::CONFLICT {
+                Ordered::Fenced
+            } else {
+                Ordered::Taken
+            })
+        }
+        .boxed()
+    }
+}
+
+impl Services for HttpEndpoints {
+    type Answer = Answer;
+
+    fn call<'a>(&'a self, address: &'a str, call: Call) -> BoxFuture<'a, Result<Answer, EndpointError>> {
+        async move {
+            let broken = |reason: &str| EndpointError {
+                reason: reason.to_owned(),
+                ..error(Step::Call, address, Sending::Before)
+            };
+            let method = Method::from_bytes(call.method.as_bytes()).map_err(|_| broken("unknown method"))?;
+            let mut request = self
+                .fresh
+                .request(method, format!("http://{address}/{}", call.path))
+                .timeout(call.remaining)
+                .body(call.body);
+            if let Some(media) = call.media {
+                request = request.header("content-type", media);
+            }
+            if let Some(key) = call.key {
+                request = request.header("idempotency-key", key);
+            }
+            let response = request
+                .send()
+                .await
+                .map_err(|e| failed(Step::Call, address, &e))?;
+            if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+                return Err(declined(Step::Call, address, response).await);
+            }
+            let status = response.status().as_u16();
+            let body = response
+                .text()
+                .await
+                .map_err(|e| failed(Step::Call, address, &e))?;
+            Ok(Answer { status, body })
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/chestnutstage/src/instance.rs
@@ -0,0 +1,398 @@
+//! One instance: puts its parts together and runs them.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use chestnutstage_config::settings::Settings;
+use chestnutstage_core::budget::RetryBudget;
+use chestnutstage_core::explain::Decision;
+use chestnutstage_core::ids::Incarnation;
+use chestnutstage_core::members::{Health, Member, ModelSet};
+use chestnutstage_core::pause::PauseWatch;
+use chestnutstage_core::route::Router as RouteTable;
+use kameo::actor::{ActorRef, Spawn};
+use log::{info, warn};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+use crate::accounts::Accounts;
+use crate::actor::committer::{Committer, Refresh};
+use crate::actor::ledger::Ledger;
+use crate::actor::members::{self, Leave, Listed, MembersActor};
+use crate::actor::owner::{self, IsIdle, OwnerActor};
+use crate::call::Calls;
+use crate::caller::{self, Callers};
+use crate::clock::Clock;
+use crate::config::ConfigState;
+use crate::engine::HttpEndpoints;
+use crate::entry::Entry;
+use crate::journal::Journal;
+use crate::link::{Identity, QuicLink, TlsError};
+use crate::memory;
+use crate::operator::{self, Operators};
+use crate::owners::Owners;
+use crate::peers::Peers;
+use crate::platform::HttpPlatform;
+use crate::shared::{Adapters, Shared, lock};
+use crate::view;
+
+/// Interval of the state machines' ticks.
+const TICK: Duration = Duration::from_millis(100);
+/// Reads of the configuration log a second, over the whole fleet.
+const REFRESHES: f64 = 8.0;
+/// Longest interval between one instance's reads of the configuration log.
+const REFRESH_MAX: Duration = Duration::from_mins(2);
+/// Interval between reads of the platform's list.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of checks whether all work has ended.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for the news of the departure to leave.
+const FAREWELL: Duration = Duration::from_millis(300);
+
+/// An instance could not be started.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The certificates can't be used.
+    #[error(transparent)]
+    Tls(#[from] TlsError),
+    /// An HTTP client can't be made.
+    #[error("HTTP client: {0}")]
+    Client(#[from] reqwest::Error),
+    /// An address can't be bound.
+    #[error("bind of {address}: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A secret can't be read.
+    #[error("{0}")]
+    Secret(String),
+}
+
+/// A running instance.
+pub struct Instance {
+    shared: Arc<Shared>,
+    owner: ActorRef<OwnerActor>,
+    members: ActorRef<MembersActor>,
+    link: Arc<QuicLink>,
+    listen: SocketAddr,
+    peer: SocketAddr,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+    stop: watch::Sender<bool>,
+}
+
+/// Metrics of the process; there is one recorder however many instances a test runs.
+fn metrics() -> &'static PrometheusHandle {
+    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+    HANDLE.get_or_init(|| {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        let _ = ::metrics::set_global_recorder(recorder);
+        handle
+    })
+}
+
+impl Instance {
+    /// Starts an instance; it takes work as soon as it knows that its configuration is current.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] says what is missing.
+    pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        metrics();
+        let clock = Clock::start();
+        let identity = Identity::load(
+            &settings.fleet.authority,
+            &settings.fleet.certificate,
+            &settings.fleet.key,
+        )?;
+        let link = Arc::new(QuicLink::bind(
+            settings.instance.id.clone(),
+            &identity,
+            settings.instance.peer,
+        )?);
+        let bind = |source| StartError::Bind {
+            address: settings.instance.peer,
+            source,
+        };
+        let peer = link.bound().map_err(bind)?.address;
+        let bind = |source| StartError::Bind {
+            address: settings.instance.listen,
+            source,
+        };
+        let listener = TcpListener::bind(settings.instance.listen).await.map_err(bind)?;
+        let listen = listener.local_addr().map_err(bind)?;
+        let adapters = adapters(&settings, link.clone())?;
+        let shared = shared(settings, clock, adapters);
+
+        let owner = OwnerActor::spawn(OwnerActor::new(shared.clone()));
+        let committer = Committer::spawn(Committer::new(shared.clone()));
+        let ledger = Ledger::spawn(Ledger::new(shared.clone()));
+        let me = member(&shared, peer);
+        let members = MembersActor::spawn(MembersActor::new(shared.clone(), committer.clone(), me));
+        let accounts = Arc::new(Accounts::default());
+        let owners = Owners {
+            shared: shared.clone(),
+            local: owner.clone(),
+        };
+        let entry = Entry {
+            shared: shared.clone(),
+            owners,
+        };
+        let calls = Calls {
+            entry: entry.clone(),
+            ledger,
+        };
+        let peers = Arc::new(Peers {
+            shared: shared.clone(),
+            owner: owner.clone(),
+            members: members.clone(),
+            accounts: accounts.clone(),
+        });
+        let callers = Callers {
+            shared: shared.clone(),
+            entry,
+            calls,
+            accounts: accounts.clone(),
+        };
+        let operators = Operators {
+            shared: shared.clone(),
+            committer: committer.clone(),
+            owner: owner.clone(),
+        };
+        let router = Router::new()
+            .merge(caller::routes(callers))
+            .merge(operator::routes(operators))
+            .merge(health(shared.clone()));
+
+        let stop = watch::Sender::new(false);
+        let tasks = vec![
+            tokio::spawn(link.clone().serve(peers)),
+            tokio::spawn(serve(listener, router, stop.subscribe())),
+            tokio::spawn(tick(shared.clone(), owner.clone(), members.clone())),
+            tokio::spawn(refresh(shared.clone(), committer)),
+            tokio::spawn(list(shared.clone(), members.clone())),
+            tokio::spawn(view::follow(
+                shared.clone(),
+                owner.clone(),
+                members.clone(),
+                accounts,
+            )),
+            tokio::spawn(memory::reconcile(shared.clone())),
+        ];
+        info!(listen:% = listen, peer:% = peer; "instance started");
+        Ok(Self {
+            shared,
+            owner,
+            members,
+            link,
+            listen,
+            peer,
+            tasks,
+            stop,
+        })
+    }
+
+    /// Where callers reach it.
+    pub const fn address(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Where its peers reach it.
+    pub const fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Shuts down without cutting a request: stays in service until the balancer has noticed, hands its endpoints over,
+    /// and finishes what runs.
+    pub async fn shutdown(self) {
+        info!("leaving: no longer ready for the balancer");
+        self.shared.leaving.store(true, Ordering::Relaxed);
+        let _ = self.members.ask(Leave(Health::Leaving)).await;
+        let timing = self.shared.settings.timing.clone();
+        sleep(timing.balancer.0).await;
+        if timeout(timing.shutdown.0, self.drained()).await.is_err() {
+            warn!(open = self.shared.open.load(Ordering::Relaxed); "shutdown limit reached with requests running");
+        }
+        self.stop.send_replace(true);
+        let _ = self.members.ask(Leave(Health::Left)).await;
+        sleep(FAREWELL).await;
+        info!("left");
+        self.kill();
+    }
+
+    /// Ends the instance at once, as a crash would.
+    pub fn kill(self) {
+        self.link.close();
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.owner.kill();
+        self.members.kill();
+    }
+
+    async fn drained(&self) {
+        while self.shared.open.load(Ordering::Relaxed) > 0 || !self.owner.ask(IsIdle).await.unwrap_or(true) {
+            sleep(DRAIN_INTERVAL).await;
+        }
+    }
+}
+
+fn adapters(settings: &Settings, link: Arc<QuicLink>) -> Result<Adapters, StartError> {
+    let token = settings
+        .platform
+        .token
+        .as_ref()
+        .map(chestnutstage_config::settings::Secret::read)
+        .transpose();
+    let token = token.map_err(StartError::Secret)?;
+    let limit = settings.timing.platform.0;
+    let platform = |base: &str| HttpPlatform::new(base, token.clone(), limit);
+    let endpoints = HttpEndpoints::new()?;
+    Ok(Adapters {
+        tables: Arc::new(platform(&settings.platform.tables)?),
+        objects: Arc::new(platform(&settings.platform.objects)?),
+        instances: Arc::new(platform(&settings.platform.instances)?),
+        engines: Arc::new(endpoints.clone()),
+        services: Arc::new(endpoints),
+        links: link,
+    })
+}
+
+fn shared(settings: Settings, clock: Clock, adapters: Adapters) -> Arc<Shared> {
+    let mut rng = StdRng::from_os_rng();
+    let router = RouteTable::new(settings.instance.zone.clone(), rng.random());
+    let budget = RetryBudget::new(rng.random());
+    Arc::new(Shared {
+        clock,
+        journal: Journal::new(clock),
+        adapters,
+        config: ConfigState::new(),
+        roster: watch::Sender::default(),
+        listing: watch::Sender::default(),
+        router: Mutex::new(router),
+        budget: Mutex::new(budget),
+        rng: Mutex::new(rng),
+        serving: Mutex::default(),
+        leaving: false.into(),
+        open: 0.into(),
+        settings,
+    })
+}
+
+/// This instance as its peers are told of it.
+///
+/// The wall clock makes the incarnation of a restarted instance higher than that of its former life. Should the clock
+/// have gone back, the first news of the former life raises it.
+fn member(shared: &Shared, address: SocketAddr) -> Member {
+    let since = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
+    Member {
+        id: shared.me().clone(),
+        zone: shared.settings.instance.zone.clone(),
+        address,
+        incarnation: Incarnation(since.as_millis() as u64),
+        health: Health::Alive,
+        models: ModelSet::default(),
+    }
+}
+
+fn health(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/healthz", get(|| async { "ok" }))
+        .route("/readyz", get(ready))
+        .route("/metrics", get(|| async { metrics().render() }))
+        .with_state(shared)
+}
+
+async fn ready(State(shared): State<Arc<Shared>>) -> (StatusCode, &'static str) {
+    if shared.is_leaving() {
+        return (StatusCode::SERVICE_UNAVAILABLE, "leaving");
+    }
+    match shared.check_current() {
+        Ok(()) => (StatusCode::OK, "ready"),
+        Err(_) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the configuration may be out of date",
+        ),
+    }
+}
+
+async fn serve(listener: TcpListener, router: Router, mut stop: watch::Receiver<bool>) {
+    let stopped = async move {
+        let _ = stop.wait_for(|s| *s).await;
+    };
+    if let Err(e) = axum::serve(listener, router)
+        .with_graceful_shutdown(stopped)
+        .await
+    {
+        warn!("callers are no longer served: {e}");
+    }
+}
+
+/// Passes time to the state machines, and notices when the process was frozen.
+async fn tick(shared: Arc<Shared>, owner: ActorRef<OwnerActor>, members: ActorRef<MembersActor>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut watch = PauseWatch::new(shared.clock.now());
+    loop {
+        ticks.tick().await;
+        if let Some(gap) = watch.tick(shared.clock.now()) {
+            lock(&shared.config.currency).doubt();
+            shared.journal.fleet(Decision::Paused {
+                millis: gap.as_millis() as u64,
+            });
+        }
+        let _ = owner.tell(owner::Tick).await;
+        let _ = members.tell(members::Tick).await;
+    }
+}
+
+/// Reads the configuration log, so often that the whole fleet together keeps to a fixed rate.
+async fn refresh(shared: Arc<Shared>, committer: ActorRef<Committer>) {
+    loop {
+        let _ = committer.ask(Refresh).await;
+        let instances = shared.roster.borrow().share.map_or(1, |s| s.roster);
+        let jitter = lock(&shared.rng).random_range(0.75..1.25);
+        let delay = Duration::from_secs_f64(f64::from(instances) / REFRESHES * jitter);
+        sleep(delay.clamp(TICK, REFRESH_MAX)).await;
+    }
+}
+
+/// Reads the platform's list; until it can be read, the seeds of the settings stand for it.
+async fn list(shared: Arc<Shared>, members: ActorRef<MembersActor>) {
+    let seeds = shared
+        .settings
+        .fleet
+        .seeds
+        .iter()
+        .map(|s| (s.id.clone(), s.peer))
+        .collect();
+    let _ = members.tell(Listed(seeds)).await;
+    loop {
+        match shared.adapters.instances.list().await {
+            Ok(listing) => {
+                let _ = members.tell(Listed(listing.roster())).await;
+                if **shared.listing.borrow() != listing {
+                    shared.listing.send_replace(Arc::new(listing));
+                }
+            }
+            Err(e) => log::debug!("{e}"),
+        }
+        sleep(LIST_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/chestnutstage/src/journal.rs
@@ -0,0 +1,89 @@
+//! Decisions of this process: kept for a while, logged, and counted.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use chestnutstage_core::explain::{Decision, Record, Ring};
+use chestnutstage_core::ids::RequestId;
+use log::{debug, info, warn};
+use metrics::counter;
+
+use crate::clock::Clock;
+
+/// Decisions kept.
+const RING_SIZE: usize = 16_384;
+
+/// Where all parts of the process put their decisions.
+#[derive(Debug)]
+pub(crate) struct Journal {
+    clock: Clock,
+    ring: Mutex<Ring>,
+}
+
+impl Journal {
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            ring: Mutex::new(Ring::new(RING_SIZE)),
+        }
+    }
+
+    /// Notes a decision about a request.
+    pub(crate) fn request(&self, id: RequestId, decision: Decision) {
+        debug!(request:% = id; "{decision:?}");
+        self.note(Some(id), decision);
+    }
+
+    /// Notes a decision about the fleet.
+    pub(crate) fn fleet(&self, decision: Decision) {
+        match decision {
+            Decision::Reset { .. } | Decision::Paused { .. } | Decision::Freed { .. } => {
+                warn!("{decision:?}");
+            }
+            _ => info!("{decision:?}"),
+        }
+        self.note(None, decision);
+    }
+
+    /// Decisions about `request`, oldest first.
+    pub(crate) fn about(&self, request: RequestId) -> Vec<Record> {
+        self.lock().about(request).cloned().collect()
+    }
+
+    /// The last `count` decisions, oldest first.
+    pub(crate) fn last(&self, count: usize) -> Vec<Record> {
+        let ring = self.lock();
+        let all: Vec<_> = ring.all().cloned().collect();
+        all[all.len().saturating_sub(count)..].to_vec()
+    }
+
+    fn note(&self, request: Option<RequestId>, decision: Decision) {
+        counter!("chestnutstage_decisions_total", "event" => name(&decision)).increment(1);
+        self.lock().push(self.clock.now(), request, decision);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Ring> {
+        self.ring.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+const fn name(decision: &Decision) -> &'static str {
+    match decision {
+        Decision::Routed { .. } => "routed",
+        Decision::Granted { .. } => "granted",
+        Decision::Refused { .. } => "refused",
+        Decision::OwnerLost { .. } => "owner_lost",
+        Decision::Recalled { .. } => "recalled",
+        Decision::Resumed { .. } => "resumed",
+        Decision::Restarted { .. } => "restarted",
+        Decision::Ended { .. } => "ended",
+        Decision::Reset { .. } => "reset",
+        Decision::Adopted { .. } => "adopted",
+        Decision::Dropped { .. } => "dropped",
+        Decision::Member { .. } => "member",
+        Decision::Applied { .. } => "applied",
+        Decision::Zone { .. } => "zone",
+        Decision::Paused { .. } => "paused",
+        Decision::Freed { .. } => "freed",
+        Decision::Ordered { .. } => "ordered",
+    }
+}
--- /dev/null
+++ b/chestnutstage/src/link/mod.rs
@@ -0,0 +1,106 @@
+//! Links between instances.
+
+pub mod message;
+mod quic;
+mod tls;
+
+use std::net::SocketAddr;
+
+use chestnutstage_core::ids::{InstanceId, Ticket};
+use chestnutstage_core::owner::Ask;
+use derive_more::Display;
+use futures::future::BoxFuture;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+use self::message::{EntryWord, OwnerWord, Reply, Request, Target};
+
+pub(crate) use self::quic::QuicLink;
+pub(crate) use self::tls::Identity;
+pub use self::tls::TlsError;
+
+/// What was being done with a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Step {
+    /// Connection.
+    #[display("connection")]
+    Connect,
+    /// Sending of a message.
+    #[display("sending of a message")]
+    Send,
+    /// Wait for the answer.
+    #[display("wait for the answer")]
+    Receive,
+}
+
+/// A message to a peer failed.
+#[derive(Debug, Clone, Error)]
+#[error("{step} with {peer}: {reason}")]
+pub struct LinkError {
+    /// What was being done.
+    pub step: Step,
+    /// The peer.
+    pub peer: InstanceId,
+    /// What went wrong.
+    pub reason: String,
+}
+
+/// An `Ask` under way: what the owner says, and what it is told.
+#[derive(Debug)]
+pub struct Conversation {
+    /// What the owner says; closed when the owner is gone.
+    pub words: mpsc::UnboundedReceiver<OwnerWord>,
+    /// Where the owner is told of the request's course; dropping it ends the request.
+    pub tell: mpsc::UnboundedSender<EntryWord>,
+}
+
+/// Links to the other instances.
+pub trait PeerLink: Send + Sync {
+    /// What a call gives.
+    type Reply;
+
+    /// Sends a request and waits for its answer, `limit` at the most.
+    fn call<'a>(
+        &'a self,
+        peer: &'a Target,
+        request: Request,
+        limit: Duration,
+    ) -> BoxFuture<'a, Result<Self::Reply, LinkError>>;
+
+    /// Opens a conversation with an owner.
+    fn ask<'a>(
+        &'a self,
+        peer: &'a Target,
+        ask: Ask,
+        remaining: Duration,
+    ) -> BoxFuture<'a, Result<Conversation, LinkError>>;
+}
+
+/// Links as the system uses them.
+pub(crate) type Links = dyn PeerLink<Reply = Reply>;
+
+/// Answers what peers send.
+pub trait PeerHandler: Send + Sync {
+    /// How a request other than `Ask` is answered.
+    type Reply;
+
+    /// Answers a request of the peer `from`.
+    fn handle<'a>(&'a self, from: &'a InstanceId, request: Request) -> BoxFuture<'a, Self::Reply>;
+
+    /// Takes an `Ask`; the owner's words go to `words`.
+    fn ask(&self, ask: Ask, remaining: Duration, words: mpsc::UnboundedSender<OwnerWord>);
+
+    /// Takes what an entry says; `None` when the entry is gone without a word.
+    fn tell(&self, ticket: Ticket, word: Option<EntryWord>);
+}
+
+/// A handler as the transport uses it.
+pub(crate) type Handler = dyn PeerHandler<Reply = Reply>;
+
+/// Addresses of this instance's link.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Bound {
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+}
--- /dev/null
+++ b/chestnutstage/src/main.rs
@@ -0,0 +1,50 @@
+//! The daemon.
+
+use std::process::ExitCode;
+
+use chestnutstage::cli::Cli;
+use chestnutstage::{Instance, logging};
+use chestnutstage_config::settings::Settings;
+use clap::Parser;
+use log::error;
+use tokio::signal::unix::{SignalKind, signal};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let settings = match Settings::load(&cli.settings) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("chestnutstage: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    if cli.check_config {
+        println!("{}: the settings are valid", cli.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    logging::start(settings.instance.id.as_str());
+    let instance = match Instance::start(settings).await {
+        Ok(instance) => instance,
+        Err(e) => {
+            error!("{e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    wait_for_stop().await;
+    instance.shutdown().await;
+    ExitCode::SUCCESS
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn wait_for_stop() {
+    let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        error!("signals can't be received; stop this process by force");
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
--- /dev/null
+++ b/chestnutstage/src/memory.rs
@@ -0,0 +1,123 @@
+//! Memory that was left behind on engines.
+//!
+//! Every reservation on an engine is named after its holder, the holder's life, the request and the segment. The owner
+//! of an engine lists what the engine holds, again and again, and frees what has outlived its time or its holder. So no
+//! lost message and no dead instance costs memory for good.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutstage_core::endpoint::{Endpoint, Kind};
+use chestnutstage_core::explain::Decision;
+use chestnutstage_core::holding::{Fate, Holder, Name};
+use chestnutstage_core::members::Health;
+use chestnutstage_core::rendezvous;
+use log::debug;
+use tokio::time::sleep;
+
+use crate::engine::Holding;
+use crate::link::message::{Reply, Request};
+use crate::shared::{Shared, lock};
+
+/// Interval between looks at the engines.
+const INTERVAL: Duration = Duration::from_secs(2);
+/// Time limit of the holder's answer.
+const HOLDER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Frees what was left behind on the engines that this instance owns, for ever.
+pub(crate) async fn reconcile(shared: Arc<Shared>) {
+    loop {
+        sleep(INTERVAL).await;
+        for engine in owned(&shared) {
+            look(&shared, &engine).await;
+        }
+    }
+}
+
+fn owned(shared: &Shared) -> Vec<Endpoint> {
+    let roster = shared.roster.borrow().clone();
+    let owners = || {
+        let alive = roster
+            .members
+            .iter()
+            .filter(|m| matches!(m.health, Health::Alive | Health::Suspect));
+        alive.map(|m| (&m.id, &m.zone))
+    };
+    let listing = shared.listing.borrow().clone();
+    let mine = |e: &&Endpoint| {
+        e.kind == Kind::Engine && rendezvous::owner(e.id.as_str(), &e.zone, owners()) == Some(shared.me())
+    };
+    listing.endpoints.iter().filter(mine).cloned().collect()
+}
+
+async fn look(shared: &Arc<Shared>, engine: &Endpoint) {
+    let holdings = match shared.adapters.engines.holdings(&engine.address).await {
+        Ok(holdings) => holdings,
+        Err(e) => return debug!("{e}"),
+    };
+    for (name, holding) in holdings {
+        if fate(shared, &name, &holding).await == Fate::Free {
+            free(shared, engine, &name).await;
+        }
+    }
+}
+
+/// What must happen to a reservation.
+async fn fate(shared: &Shared, name: &str, holding: &Holding) -> Fate {
+    // What does not bear a name of this fleet is somebody else's.
+    let Some(name) = Name::parse(name) else {
+        return Fate::Keep;
+    };
+    let holder = holder(shared, &name).await;
+    name.fate(
+        holder,
+        Duration::from_millis(holding.age),
+        Duration::from_millis(holding.ttl),
+    )
+}
+
+async fn holder(shared: &Shared, name: &Name) -> Holder {
+    if name.holder == *shared.me() {
+        return if lock(&shared.serving).contains(&name.request) {
+            Holder::Serves
+        } else {
+            Holder::Ended
+        };
+    }
+    let roster = shared.roster.borrow().clone();
+    let Some(member) = roster.members.iter().find(|m| m.id == name.holder) else {
+        return Holder::Gone;
+    };
+    if matches!(member.health, Health::Dead | Health::Left) {
+        return Holder::Gone;
+    }
+    let Some(target) = roster.target(&name.holder) else {
+        return Holder::Unknown;
+    };
+    match shared
+        .adapters
+        .links
+        .call(
+            &target,
+            Request::Knows {
+                request: name.request,
+            },
+            HOLDER_LIMIT,
+        )
+        .await
+    {
+        Ok(Reply::Known(true)) => Holder::Serves,
+        Ok(Reply::Known(false)) => Holder::Ended,
+        _ => Holder::Unknown,
+    }
+}
+
+async fn free(shared: &Shared, engine: &Endpoint, name: &str) {
+    match shared.adapters.engines.free(&engine.address, name).await {
+        Ok(()) => {
+            let (endpoint, holding) = (engine.id.clone(), name.to_owned());
+            shared.journal.fleet(Decision::Freed { endpoint, holding });
+        }
+        Err(e) => debug!("{e}"),
+    }
+}
--- /dev/null
+++ b/chestnutstage/src/shared.rs
@@ -0,0 +1,149 @@
+//! What all parts of one instance share.
+
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use chestnutstage_config::settings::Settings;
+use chestnutstage_core::budget::RetryBudget;
+use chestnutstage_core::ids::{EndpointId, InstanceId, RequestId, ZoneId};
+use chestnutstage_core::members::Member;
+use chestnutstage_core::outcome::Refusal;
+use chestnutstage_core::route::Router;
+use chestnutstage_core::window::Share;
+use rand::Rng;
+use rand::rngs::StdRng;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::config::ConfigState;
+use crate::engine::{EngineSet, ServiceSet};
+use crate::journal::Journal;
+use crate::link::Links;
+use crate::link::message::Target;
+use crate::platform::{Instances, Listing, Objects, Tables};
+
+/// When a caller is told to come back to a cut-off or leaving instance.
+const RETRY_SOON: std::time::Duration = std::time::Duration::from_secs(1);
+/// Bits of a request id that count its attempts at engines.
+const ATTEMPT_BITS: u32 = 16;
+
+/// Members as last seen.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Roster {
+    /// All members known.
+    pub(crate) members: Vec<Member>,
+    /// Part of the roster that is alive.
+    pub(crate) share: Option<Share>,
+}
+
+impl Roster {
+    /// Address of a member.
+    pub(crate) fn target(&self, id: &InstanceId) -> Option<Target> {
+        let member = self.members.iter().find(|m| m.id == *id)?;
+        Some(Target {
+            id: id.clone(),
+            address: member.address,
+        })
+    }
+}
+
+/// Adapters of everything outside the process.
+pub(crate) struct Adapters {
+    pub(crate) tables: Arc<Tables>,
+    pub(crate) objects: Arc<Objects>,
+    pub(crate) instances: Arc<Instances>,
+    pub(crate) engines: Arc<EngineSet>,
+    pub(crate) services: Arc<ServiceSet>,
+    pub(crate) links: Arc<Links>,
+}
+
+/// State that all parts of the instance share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) journal: Journal,
+    pub(crate) adapters: Adapters,
+    pub(crate) config: ConfigState,
+    pub(crate) roster: watch::Sender<Arc<Roster>>,
+    pub(crate) listing: watch::Sender<Arc<Listing>>,
+    pub(crate) router: Mutex<Router>,
+    pub(crate) budget: Mutex<RetryBudget>,
+    pub(crate) rng: Mutex<StdRng>,
+    /// Requests that this instance serves as their entry.
+    pub(crate) serving: Mutex<HashSet<RequestId>>,
+    pub(crate) leaving: AtomicBool,
+    /// Streams open towards callers.
+    pub(crate) open: AtomicUsize,
+}
+
+/// Locks a mutex; a panic elsewhere does not spoil plain data.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// This instance's name.
+    pub(crate) const fn me(&self) -> &InstanceId {
+        &self.settings.instance.id
+    }
+
+    /// A new request id, with room for the count of attempts.
+    pub(crate) fn request_id(&self) -> RequestId {
+        let bits: u128 = lock(&self.rng).random();
+        RequestId(bits << ATTEMPT_BITS)
+    }
+
+    /// A number that nobody else draws.
+    pub(crate) fn nonce(&self) -> u128 {
+        lock(&self.rng).random()
+    }
+
+    /// Whether the instance is on its way out.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Whether new work may be taken.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Isolated`] if the configuration may be out of date.
+    pub(crate) fn check_current(&self) -> Result<(), Refusal> {
+        if lock(&self.config.currency).is_current(self.clock.now()) {
+            return Ok(());
+        }
+        Err(Refusal::Isolated { retry: RETRY_SOON })
+    }
+
+    /// Whether work may go to an endpoint, by the configuration in force now.
+    pub(crate) fn may_use(&self, endpoint: &EndpointId, zone: &ZoneId) -> bool {
+        self.check_current().is_ok() && self.config.snapshot().config.in_service(endpoint, zone)
+    }
+}
+
+/// Counts a request as being served while it lives.
+pub(crate) struct Serving {
+    shared: Arc<Shared>,
+    id: RequestId,
+}
+
+impl Serving {
+    pub(crate) fn new(shared: &Arc<Shared>, id: RequestId) -> Self {
+        lock(&shared.serving).insert(id);
+        shared.open.fetch_add(1, Ordering::Relaxed);
+        metrics::gauge!("chestnutstage_open_requests").increment(1.0);
+        Self {
+            shared: shared.clone(),
+            id,
+        }
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        lock(&self.shared.serving).remove(&self.id);
+        self.shared.open.fetch_sub(1, Ordering::Relaxed);
+        metrics::gauge!("chestnutstage_open_requests").decrement(1.0);
+    }
+}
--- /dev/null
+++ b/chestnutstage/src/view.rs
@@ -0,0 +1,112 @@
+//! What this instance owns, worked out anew whenever members, listing or configuration change.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use chestnutstage_core::endpoint::Endpoint;
+use chestnutstage_core::ids::{InstanceId, ModelId, ZoneId};
+use chestnutstage_core::members::{Health, Member};
+use chestnutstage_core::rendezvous;
+use chestnutstage_core::route::Peer;
+use chestnutstage_core::window::Share;
+use kameo::actor::ActorRef;
+
+use crate::accounts::Accounts;
+use crate::actor::members::{MembersActor, Owns};
+use crate::actor::owner::{OwnerActor, View};
+use crate::config::Snapshot;
+use crate::platform::Listing;
+use crate::shared::{Roster, Shared, lock};
+
+/// Keeps the owner, the router and the accounts up to date with what they rest on.
+pub(crate) async fn follow(
+    shared: Arc<Shared>,
+    owner: ActorRef<OwnerActor>,
+    members: ActorRef<MembersActor>,
+    accounts: Arc<Accounts>,
+) {
+    let mut roster = shared.roster.subscribe();
+    let mut listing = shared.listing.subscribe();
+    let mut config = shared.config.subscribe();
+    let mut last = None;
+    loop {
+        let snapshot = config.borrow_and_update().clone();
+        let seen = roster.borrow_and_update().clone();
+        let listed = listing.borrow_and_update().clone();
+        let view = view(&shared, &snapshot, &seen, &listed);
+        route(&shared, &seen, &listed);
+        if last.as_ref() != Some(&view)
+            && let Ok(models) = owner.ask(view.clone()).await
+        {
+            let _ = members.tell(Owns(models)).await;
+            last = Some(view);
+        }
+        let changed = tokio::select! {
+            changed = config.changed() => {
+                accounts.reset();
+                changed
+            }
+            changed = roster.changed() => changed,
+            changed = listing.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
+/// Members that own endpoints, with their zones.
+fn owners(roster: &Roster) -> impl Iterator<Item = &Member> {
+    roster
+        .members
+        .iter()
+        .filter(|m| matches!(m.health, Health::Alive | Health::Suspect))
+}
+
+fn view(shared: &Shared, snapshot: &Snapshot, roster: &Roster, listing: &Listing) -> View {
+    let owners: Vec<(&InstanceId, &ZoneId)> = owners(roster).map(|m| (&m.id, &m.zone)).collect();
+    let mine = |e: &&Endpoint| {
+        rendezvous::owner(e.id.as_str(), &e.zone, owners.iter().copied()) == Some(shared.me())
+    };
+    let owned: Vec<Endpoint> = listing
+        .endpoints
+        .iter()
+        .filter(mine)
+        .map(|e| adjusted(e, snapshot))
+        .collect();
+    let out: BTreeSet<_> = owned
+        .iter()
+        .filter(|e| !snapshot.config.in_service(&e.id, &e.zone))
+        .map(|e| e.id.clone())
+        .collect();
+    let share = roster.share.unwrap_or(Share::WHOLE);
+    View {
+        owned,
+        out,
+        share,
+        limits: snapshot.config.defaults.limits,
+    }
+}
+
+/// An endpoint's listing with the capacity that an exception sets.
+fn adjusted(endpoint: &Endpoint, snapshot: &Snapshot) -> Endpoint {
+    let mut endpoint = endpoint.clone();
+    if let Some(capacity) = snapshot.capacity(&endpoint.id) {
+        endpoint.capacity = capacity;
+    }
+    endpoint
+}
+
+fn route(shared: &Shared, roster: &Roster, listing: &Listing) {
+    let models: BTreeSet<ModelId> = listing
+        .endpoints
+        .iter()
+        .flat_map(|e| e.models.iter().cloned())
+        .collect();
+    let peers = owners(roster).map(|m| Peer {
+        id: &m.id,
+        zone: &m.zone,
+        models: m.models,
+    });
+    lock(&shared.router).set_peers(peers, &models);
+}
--- /dev/null
+++ b/chestnutstage/tests/common/mod.rs
@@ -0,0 +1,339 @@
+//! A small deployment inside a test: real instances, stand-ins of everything else, ephemeral ports.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use chestnutstage::Instance;
+use chestnutstage_config::fleet::Change;
+use chestnutstage_config::settings::Settings;
+use chestnutstage_fakes::endpoint::EndpointFake;
+use chestnutstage_fakes::platform::{Listed, Listing, PlatformFake};
+use chestnutstage_fakes::service::ServiceFake;
+use chestnutstage_fakes::world::{self, World};
+use rcgen::{CertificateParams, IsCa, Issuer, KeyPair};
+use reqwest::{Client, Response};
+use serde_json::{Value, json};
+use tokio::time::{sleep, timeout};
+
+/// Bound on waits for something that must happen; passing never depends on how long it took.
+const PATIENCE: Duration = Duration::from_mins(1);
+/// Zones of the deployment.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Key of the test's customer.
+pub const KEY: &str = "key-of-c1";
+/// Operators' tokens.
+pub const NORTH: &str = "token-of-north";
+pub const SOUTH: &str = "token-of-south";
+
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+
+pub struct Deployment {
+    pub platform: PlatformFake,
+    pub engines: Vec<EndpointFake>,
+    pub services: Vec<ServiceFake>,
+    pub instances: Vec<Instance>,
+    pub client: Client,
+    listing: Listing,
+    folder: PathBuf,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until `condition` holds.
+pub async fn until<F: AsyncFnMut() -> bool>(what: &str, mut condition: F) {
+    let wait = async {
+        while !condition().await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    assert!(timeout(PATIENCE, wait).await.is_ok(), "never came about: {what}");
+}
+
+impl Deployment {
+    /// Starts `instances` instances before `engines` engines and one plain service, with a configuration in force.
+    pub async fn start(instances: usize, engines: usize) -> Self {
+        let mut deployment = Self::bare(instances, engines).await;
+        deployment.configure().await;
+        deployment.ready().await;
+        deployment
+    }
+
+    /// The same without a configuration.
+    pub async fn bare(instances: usize, engines: usize) -> Self {
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("chestnutstage-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let platform = PlatformFake::spawn("127.0.0.1:0", Listing::default())
+            .await
+            .unwrap();
+        let mut listing = Listing::default();
+        let mut fakes = Vec::new();
+        for i in 0..engines {
+            let endpoint = world::engine(&format!("e{}", i + 1), ZONES[i % 3], "127.0.0.1:0");
+            let fake = EndpointFake::spawn(endpoint, false).await.unwrap();
+            listing.endpoints.push(fake.listing());
+            fakes.push(fake);
+        }
+        let service = ServiceFake::spawn("127.0.0.1:0").await.unwrap();
+        listing
+            .endpoints
+            .push(world::service("s1", "a", &service.address().to_string()));
+        let authority = Authority::new(&folder);
+        let mut started = Vec::new();
+        for i in 0..instances {
+            let id = format!("i{}", i + 1);
+            authority.sign(&folder, &id);
+            let instance = Instance::start(settings(&folder, &id, ZONES[i % 3], &platform.url()))
+                .await
+                .unwrap();
+            listing.instances.push(Listed {
+                id,
+                peer: instance.peer(),
+                zone: ZONES[i % 3].into(),
+                leaving: false,
+            });
+            started.push(instance);
+        }
+        platform.list(listing.clone());
+        let client = Client::builder().no_proxy().build().unwrap();
+        Self {
+            platform,
+            engines: fakes,
+            services: vec![service],
+            instances: started,
+            client,
+            listing,
+            folder,
+        }
+    }
+
+    /// Starts another instance, known to the platform's list.
+    pub async fn join(&mut self, id: &str, zone: &str) {
+        Authority::load(&self.folder).sign(&self.folder, id);
+        let settings = settings(&self.folder, id, zone, &self.platform.url());
+        let instance = Instance::start(settings).await.unwrap();
+        let listed = Listed {
+            id: id.into(),
+            peer: instance.peer(),
+            zone: zone.into(),
+            leaving: false,
+        };
+        self.listing.instances.push(listed);
+        self.platform.list(self.listing.clone());
+        self.instances.push(instance);
+    }
+
+    /// Takes an instance off the platform's list.
+    pub fn unlist(&mut self, id: &str) {
+        self.listing.instances.retain(|i| i.id != id);
+        self.platform.list(self.listing.clone());
+    }
+
+    /// Puts the first configuration in force.
+    pub async fn configure(&mut self) {
+        let customers = BTreeMap::from([("c1", KEY), ("c2", "key-of-c2")].map(|(n, k)| (n.into(), k.into())));
+        for (base, change) in world::first_changes(&customers, 10_000_000)
+            .into_iter()
+            .enumerate()
+        {
+            until("the first change is taken", async || {
+                self.change(0, NORTH, base as u64, "first configuration of the test", &change)
+                    .await
+                    .status()
+                    == 200
+            })
+            .await;
+        }
+    }
+
+    /// Waits until every instance takes work and can place it.
+    pub async fn ready(&self) {
+        for i in 0..self.instances.len() {
+            until("every instance is ready", async || {
+                let ready = self.client.get(self.url(i, "readyz")).send().await;
+                ready.is_ok_and(|r| r.status() == 200) && self.knows_all(i).await
+            })
+            .await;
+        }
+        if !self.engines.is_empty() {
+            for i in 0..self.instances.len() {
+                until("a completion is served", async || {
+                    self.ask(i, "warm up", 2).await.status() == 200
+                })
+                .await;
+            }
+        }
+    }
+
+    async fn knows_all(&self, i: usize) -> bool {
+        let status = self.operator(i, NORTH, "operator/status").await;
+        let instances = status["instances"].as_array().map_or(0, Vec::len);
+        instances >= self.instances.len()
+            && status["instances"]
+                .as_array()
+                .unwrap()
+                .iter()
+                .all(|i| i["ready"] == true)
+    }
+
+    pub fn url(&self, i: usize, path: &str) -> String {
+        format!("http://{}/{path}", self.instances[i].address())
+    }
+
+    /// Asks for a completion in one piece.
+    pub async fn ask(&self, i: usize, prompt: &str, output: u64) -> Response {
+        self.completion(i, prompt, output, false).send().await.unwrap()
+    }
+
+    /// A completion, not yet sent.
+    pub fn completion(&self, i: usize, prompt: &str, output: u64, stream: bool) -> reqwest::RequestBuilder {
+        let body = json!({
+            "model": world::MODEL,
+            "max_tokens": output,
+            "stream": stream,
+            "messages": [{"role": "user", "content": prompt}],
+        });
+        self.client
+            .post(self.url(i, "v1/chat/completions"))
+            .bearer_auth(KEY)
+            .json(&body)
+    }
+
+    /// Books under a key.
+    pub async fn book(&self, i: usize, key: &str, booking: &str) -> Response {
+        self.booking(i, key, booking).send().await.unwrap()
+    }
+
+    /// A booking, not yet sent.
+    pub fn booking(&self, i: usize, key: &str, booking: &str) -> reqwest::RequestBuilder {
+        let request = self.client.post(self.url(i, "v1/services/bookings/bookings"));
+        request
+            .bearer_auth(KEY)
+            .header("idempotency-key", key)
+            .json(&json!({"booking": booking}))
+    }
+
+    /// Makes an operator's change.
+    pub async fn change(&self, i: usize, token: &str, base: u64, reason: &str, change: &Change) -> Response {
+        let body = json!({"base": base, "reason": reason, "change": change});
+        let request = self
+            .client
+            .post(self.url(i, "operator/change"))
+            .bearer_auth(token);
+        request.json(&body).send().await.unwrap()
+    }
+
+    /// Asks an operator's question.
+    pub async fn operator(&self, i: usize, token: &str, path: &str) -> Value {
+        let response = self
+            .client
+            .get(self.url(i, path))
+            .bearer_auth(token)
+            .send()
+            .await
+            .unwrap();
+        response.json().await.unwrap_or_default()
+    }
+
+    /// Version in force at an instance.
+    pub async fn version(&self, i: usize) -> u64 {
+        self.operator(i, NORTH, "operator/config").await["version"]
+            .as_u64()
+            .unwrap_or(0)
+    }
+
+    /// Index of the instance that owns an endpoint.
+    pub async fn owner_of(&self, endpoint: &str) -> Option<usize> {
+        for i in 0..self.instances.len() {
+            let state = self.operator(i, NORTH, "debug/state").await;
+            let owned = state["owner"]["endpoints"]
+                .as_array()
+                .cloned()
+                .unwrap_or_default();
+            if owned.iter().any(|e| e["endpoint"]["id"] == endpoint) {
+                return Some(i);
+            }
+        }
+        None
+    }
+}
+
+/// Body of an error.
+pub async fn error(response: Response) -> Value {
+    response.json::<Value>().await.unwrap()["error"].clone()
+}
+
+fn settings(folder: &Path, id: &str, zone: &str, platform: &str) -> Settings {
+    let operators = BTreeMap::from([("north", NORTH), ("south", SOUTH)].map(|(o, t)| (o.into(), t.into())));
+    let world = World {
+        platform: platform.trim_start_matches("http://").into(),
+        callers: BTreeMap::from([(id.into(), "http://127.0.0.1:0".into())]),
+        customers: BTreeMap::new(),
+        operators,
+        listing: Listing::default(),
+    };
+    let peer = "127.0.0.1:0".parse().unwrap();
+    let listed = Listed {
+        id: id.into(),
+        peer,
+        zone: zone.into(),
+        leaving: false,
+    };
+    let path = folder.join(format!("{id}.toml"));
+    let timing = "\n[timing]\nbalancer = \"300ms\"\nsilence = \"500ms\"\n";
+    std::fs::write(&path, world.settings(&listed) + timing).unwrap();
+    Settings::load(&path).unwrap()
+}
+
+/// Authority of the test's fleet.
+pub struct Authority {
+    issuer: Issuer<'static, KeyPair>,
+}
+
+impl Authority {
+    pub fn new(folder: &Path) -> Self {
+        let certs = folder.join("certs");
+        std::fs::create_dir_all(&certs).unwrap();
+        let pair = KeyPair::generate().unwrap();
+        let certificate = Self::params().self_signed(&pair).unwrap();
+        std::fs::write(certs.join("authority.pem"), certificate.pem()).unwrap();
+        std::fs::write(certs.join("authority.key"), pair.serialize_pem()).unwrap();
+        Self {
+            issuer: Issuer::new(Self::params(), pair),
+        }
+    }
+
+    pub fn load(folder: &Path) -> Self {
+        let pem = std::fs::read_to_string(folder.join("certs/authority.key")).unwrap();
+        Self {
+            issuer: Issuer::new(Self::params(), KeyPair::from_pem(&pem).unwrap()),
+        }
+    }
+
+    fn params() -> CertificateParams {
+        let mut params = CertificateParams::new(Vec::new()).unwrap();
+        params.is_ca = IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
+        params
+    }
+
+    pub fn sign(&self, folder: &Path, id: &str) {
+        self.sign_as(folder, id, id);
+    }
+
+    /// Makes a certificate for the files of `id` that is made out to `name`.
+    pub fn sign_as(&self, folder: &Path, id: &str, name: &str) {
+        let pair = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec![name.to_owned()]).unwrap();
+        let certificate = params.signed_by(&pair, &self.issuer).unwrap();
+        std::fs::write(folder.join(format!("certs/{id}.pem")), certificate.pem()).unwrap();
+        std::fs::write(folder.join(format!("certs/{id}.key")), pair.serialize_pem()).unwrap();
+    }
+}
--- /dev/null
+++ b/chestnutstage_core/src/budget.rs
@@ -0,0 +1,46 @@
+//! Retry budget and backoff, so that a failing fleet is not buried in repeats.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Retries earned by one first attempt, in thousandths.
+const EARNED: u64 = 100;
+/// Most retries that may be saved up, in thousandths.
+const SAVED_MAX: u64 = 20_000;
+/// Price of one retry, in thousandths.
+const PRICE: u64 = 1_000;
+/// Delay before the first retry.
+const BACKOFF_BASE: Duration = Duration::from_millis(20);
+/// Longest delay before a retry.
+const BACKOFF_MAX: Duration = Duration::from_secs(1);
+
+/// Retries that one instance may still make.
+#[derive(Debug)]
+pub struct RetryBudget {
+    saved: u64,
+    rng: SmallRng,
+}
+
+impl RetryBudget {
+    /// A full budget; `seed` makes the jitter repeatable.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            saved: SAVED_MAX,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes in a first attempt.
+    pub fn earn(&mut self) {
+        self.saved = (self.saved + EARNED).min(SAVED_MAX);
+    }
+
+    /// Delay before retry number `retry` (from zero), or none if the budget is used up.
+    pub fn retry(&mut self, retry: u32) -> Option<Duration> {
+        self.saved = self.saved.checked_sub(PRICE)?;
+        let ceiling = (BACKOFF_BASE * 2_u32.saturating_pow(retry.min(16))).min(BACKOFF_MAX);
+        Some(ceiling.mul_f64(self.rng.random_range(0.5..1.0)))
+    }
+}
--- /dev/null
+++ b/chestnutstage_core/src/lib.rs
@@ -0,0 +1,35 @@
+//! Decision logic of chestnutstage.
+//!
+//! Everything here is a pure state machine: events and the current time come in, actions come out. Nothing reads a
+//! clock, does I/O or draws from a global random source, so that the daemon, the tests and the benches run the same
+//! decisions. [`owner`] and [`route`] place requests, [`members`] and [`inforce`] keep the instances of one mind, and
+//! [`once`], [`stream`] and [`outcome`] keep the promises made to callers.
+
+#![warn(missing_docs)]
+
+pub mod affinity;
+pub mod budget;
+pub mod chain;
+pub mod contract;
+pub mod endpoint;
+pub mod explain;
+pub mod holding;
+pub mod ids;
+pub mod inforce;
+pub mod length;
+pub mod members;
+pub mod mix;
+pub mod once;
+pub mod order;
+pub mod outcome;
+pub mod owner;
+pub mod pause;
+pub mod queue;
+pub mod rendezvous;
+pub mod route;
+mod slots;
+pub mod stream;
+pub mod time;
+pub mod window;
+
+pub use slots::Service;
