Write wide numbers as text in readable formats

Cause: booking_once failed: a repeat of a booking waited 120 s and was then told unknown. The claim's nonce is 128 bits wide; JSON values hold no such number, encoding failed, and a default (null) was stored in its place. Change ids in the configuration log had the same fault. Ruled out: the service stand-in and the seat (the first booking answers 201). Change: ids of that width are text in readable formats; a row that can't be encoded is an error. Conclusion: no fallback values where something is stored.

--- a/chestnutstage/src/actor/committer.rs
+++ b/chestnutstage/src/actor/committer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chestnutstage_config::fleet::{self, Change, ChangeError, FleetConfig, LogEntry};
-use chestnutstage_core::ids::{InstanceId, Version};
+use chestnutstage_core::ids::{InstanceId, Nonce, Version};
 use kameo::Actor;
 use kameo::message::{Context, Message};
 use log::{debug, warn};
@@ -69,13 +69,16 @@
     #[error("not committed: {0}")]
     Store(StoreError),
     /// The store's answer was lost, and it could not be read back.
-    #[error("it is unknown whether change {id:032x} was committed; look for it in the history: {source}")]
+    #[error("it is unknown whether change {id} was committed; look for it in the history: {source}")]
     Unknown {
         /// The change's id.
-        id: u128,
+        id: Nonce,
         /// What failed.
         source: StoreError,
     },
+    /// The change can't be written down.
+    #[error("not committed: encoding of the change: {0}")]
+    Encoding(String),
     /// Others were faster too often.
     #[error("not committed: other changes came first {RACES_MAX} times")]
     Raced,
@@ -92,6 +95,16 @@
         .ok()
 }
 
+/// The write that adds an entry to the log.
+fn row(entry: &LogEntry) -> Result<Write<Value>, CommitError> {
+    let value = serde_json::to_value(entry).map_err(|e| CommitError::Encoding(e.to_string()))?;
+    Ok(Write {
+        key: key(entry.version),
+        expect: 0,
+        value,
+    })
+}
+
 impl Committer {
     pub(crate) const fn new(shared: Arc<Shared>) -> Self {
         Self { shared }
@@ -195,7 +208,7 @@
     }
 
     /// The entry that would follow the present version, if nothing speaks against it.
-    async fn next_entry(&self, id: u128, commit: &Commit) -> Result<LogEntry, CommitError> {
+    async fn next_entry(&self, id: Nonce, commit: &Commit) -> Result<LogEntry, CommitError> {
         let snapshot = self.shared.config.snapshot();
         let present = snapshot.config.version;
         if commit.base < present {
@@ -227,12 +240,7 @@
 
     /// Inserts the entry's row; false if another change took its version.
     async fn insert(&self, entry: &LogEntry) -> Result<bool, CommitError> {
-        let value = serde_json::to_value(entry).unwrap_or_default();
-        let write = Write {
-            key: key(entry.version),
-            expect: 0,
-            value,
-        };
+        let write = row(entry)?;
         match self.shared.adapters.tables.write(TABLE, vec![write]).await {
             Ok(results) => Ok(matches!(results.first(), Some(Written::Done(_)))),
             Err(e) if e.effect == Effect::None => Err(CommitError::Store(e)),
@@ -249,12 +257,7 @@
                 Ok(Some(row)) => return Ok(self::entry(row).is_some_and(|e| e.id == entry.id)),
                 Ok(None) => {
                     // The write may still be on its way; the same row again does no harm.
-                    let value = serde_json::to_value(entry).unwrap_or_default();
-                    let write = Write {
-                        key: key(entry.version),
-                        expect: 0,
-                        value,
-                    };
+                    let write = row(entry)?;
                     match self.shared.adapters.tables.write(TABLE, vec![write]).await {
                         Ok(results) if matches!(results.first(), Some(Written::Done(_))) => return Ok(true),
                         Ok(_) => {}
--- a/chestnutstage/src/call.rs
+++ b/chestnutstage/src/call.rs
@@ -181,7 +181,9 @@
     }
 
     async fn write(&self, key: &str, expect: u64, claim: Claim) -> Event {
-        let value = serde_json::to_value(&claim).unwrap_or_default();
+        let Ok(value) = serde_json::to_value(&claim) else {
+            return Event::StoreDown;
+        };
         let (done, result) = oneshot::channel();
         let write = Write {
             key: key.to_owned(),
--- a/chestnutstage/src/operator.rs
+++ b/chestnutstage/src/operator.rs
@@ -189,7 +189,7 @@
         }
         CommitError::Invalid(_) => Failure::bad(Stage::Change, "invalid_change", message)
             .with_status(StatusCode::UNPROCESSABLE_ENTITY),
-        CommitError::Store(_) | CommitError::Raced => unavailable(&message),
+        CommitError::Store(_) | CommitError::Encoding(_) | CommitError::Raced => unavailable(&message),
         CommitError::Unknown { .. } => Failure {
             outcome: Outcome::Unknown,
             ..unavailable(&message).with_status(StatusCode::BAD_GATEWAY)
--- a/chestnutstage/src/shared.rs
+++ b/chestnutstage/src/shared.rs
@@ -6,7 +6,7 @@
 
 use chestnutstage_config::settings::Settings;
 use chestnutstage_core::budget::RetryBudget;
-use chestnutstage_core::ids::{EndpointId, InstanceId, RequestId, ZoneId};
+use chestnutstage_core::ids::{EndpointId, InstanceId, Nonce, RequestId, ZoneId};
 use chestnutstage_core::members::Member;
 use chestnutstage_core::outcome::Refusal;
 use chestnutstage_core::route::Router;
@@ -95,8 +95,8 @@
     }
 
     /// A number that nobody else draws.
-    pub(crate) fn nonce(&self) -> u128 {
-        lock(&self.rng).random()
+    pub(crate) fn nonce(&self) -> Nonce {
+        Nonce(lock(&self.rng).random())
     }
 
     /// Whether the instance is on its way out.
--- a/chestnutstage_config/src/fleet.rs
+++ b/chestnutstage_config/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use chestnutstage_core::contract::Contract;
-use chestnutstage_core::ids::{CustomerId, EndpointId, ModelId, Version, ZoneId};
+use chestnutstage_core::ids::{CustomerId, EndpointId, ModelId, Nonce, Version, ZoneId};
 use chestnutstage_core::owner::Limits;
 use chestnutstage_core::window::Capacity;
 use derive_more::Display;
@@ -195,7 +195,7 @@
     /// Version that it makes.
     pub version: Version,
     /// Identity of the change, to settle lost answers of the store.
-    pub id: u128,
+    pub id: Nonce,
     /// Who made it.
     pub author: String,
     /// Office of the author.
--- a/chestnutstage_core/src/explain.rs
+++ b/chestnutstage_core/src/explain.rs
@@ -57,21 +57,12 @@
     /// Milliseconds since the process's epoch.
     pub at: u64,
     /// The request that it concerns.
-    #[serde(serialize_with = "as_text")]
     pub request: Option<RequestId>,
     /// The decision.
     #[serde(flatten)]
     pub decision: Decision,
 }
 
-#[expect(clippy::ref_option, reason = "serde calls this with a reference to the field")]
-fn as_text<S: serde::Serializer>(id: &Option<RequestId>, s: S) -> Result<S::Ok, S::Error> {
-    match id {
-        Some(id) => s.collect_str(id),
-        None => s.serialize_none(),
-    }
-}
-
 /// The last decisions, a bounded number of them.
 #[derive(Debug)]
 pub struct Ring {
--- a/chestnutstage_core/src/ids.rs
+++ b/chestnutstage_core/src/ids.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use derive_more::{Display, From};
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident) => {
@@ -57,17 +58,59 @@
     ModelId
 );
 
-/// Identity of one caller's request, unique over the fleet.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, Serialize, Deserialize)]
-#[display("{_0:032x}")]
-pub struct RequestId(pub u128);
+macro_rules! wide {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From)]
+        #[display("{_0:032x}")]
+        pub struct $name(pub u128);
 
-impl std::fmt::Debug for RequestId {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{self}")
-    }
+        impl std::fmt::Debug for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                write!(f, "{self}")
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                u128::from_str_radix(text, 16).map(Self)
+            }
+        }
+
+        // JSON has no numbers of this width, so that readable formats carry text.
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                if serializer.is_human_readable() {
+                    serializer.collect_str(self)
+                } else {
+                    serializer.serialize_u128(self.0)
+                }
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                if deserializer.is_human_readable() {
+                    String::deserialize(deserializer)?.parse().map_err(D::Error::custom)
+                } else {
+                    u128::deserialize(deserializer).map(Self)
+                }
+            }
+        }
+    };
 }
 
+wide!(
+    /// Identity of one caller's request, unique over the fleet.
+    RequestId
+);
+wide!(
+    /// Number that nobody else draws.
+    Nonce
+);
+
 /// One attempt of a request to get an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize)]
 #[display("{request}/{attempt}")]
--- a/chestnutstage_core/src/once.rs
+++ b/chestnutstage_core/src/once.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ids::Nonce;
 use crate::time::Time;
 
 /// Age of a claim without a result after which its sender must be gone.
@@ -43,7 +44,7 @@
     /// Hash of the call: method, path and body.
     pub hash: String,
     /// Identity of the attempt that holds the claim.
-    pub nonce: u128,
+    pub nonce: Nonce,
     /// What became of it.
     pub status: Status,
 }
@@ -128,7 +129,7 @@
 
 impl Attempt {
     /// An attempt that may send until `until`; `nonce` must be unique.
-    pub const fn new(hash: String, nonce: u128, until: Time) -> Self {
+    pub const fn new(hash: String, nonce: Nonce, until: Time) -> Self {
         Self {
             claim: Claim {
                 hash,
--- a/chestnutstage_core/src/slots.rs
+++ b/chestnutstage_core/src/slots.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
 use crate::endpoint::{Endpoint, Report, Size};
 use crate::ids::{BootId, Ticket};
@@ -50,6 +50,7 @@
     pub(crate) service: Service,
     pub(crate) window: Window,
     pub(crate) boot: Option<BootId>,
+    #[serde(serialize_with = "pairs")]
     pub(crate) flights: BTreeMap<Ticket, Flight>,
     /// Load that a former owner's requests may still put on the endpoint.
     foreign: Load,
@@ -64,6 +65,11 @@
     long: u32,
 }
 
+/// Shows a map as a list of pairs, for formats whose keys must be text.
+fn pairs<S: Serializer>(flights: &BTreeMap<Ticket, Flight>, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_seq(flights)
+}
+
 impl Slots {
     pub(crate) fn new(endpoint: Endpoint, hold: Time, foreign: bool) -> Self {
         let window = Window::new(endpoint.capacity);
