--- /dev/null
+++ b/chestnutstage_core/tests/cold_start.rs
@@ -0,0 +1,279 @@
+//! An endpoint in cold start receives no more load than it can bear.
+
+mod common;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use chestnutstage_core::ids::{EndpointId, Ticket};
+use chestnutstage_core::length::Tokens;
+use chestnutstage_core::owner::{Action, Cause, End, Limits, Owner};
+use chestnutstage_core::time::Time;
+use chestnutstage_core::window::{Load, Share};
+use common::{ask, at, capacity, engine, grants, report, ticket};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+fn owner(now: Time, former: bool) -> Owner {
+    let mut owner = Owner::new(Limits::default());
+    owner.adopt(now, engine("e1"), former);
+    owner
+}
+
+fn warm(owner: &mut Owner) {
+    for i in 0..20 {
+        owner.report(at(i), &"e1".into(), report(1, false, 0));
+    }
+}
+
+#[test]
+fn silent_flip() {
+    let mut owner = owner(at(0), false);
+    warm(&mut owner);
+    for n in 0..10 {
+        assert_eq!(grants(&owner.ask(at(100), ask(n, 1_000), at(60_000))).len(), 1);
+    }
+    // No first token for many times the estimate: the endpoint must have turned cold.
+    let actions = owner.tick(at(5_000));
+    assert!(actions.contains(&Action::Reset {
+        endpoint: "e1".into(),
+        cause: Cause::Cold
+    }));
+    let recalled = actions
+        .iter()
+        .filter(|a| matches!(a, Action::Recall { .. }))
+        .count();
+    assert_eq!(recalled, 8);
+    let (load, limit) = owner.load(&"e1".into()).unwrap();
+    assert_eq!((load.requests, limit), (2, capacity().cold));
+}
+
+#[test]
+fn boot_change() {
+    let mut owner = owner(at(0), false);
+    warm(&mut owner);
+    for n in 0..6 {
+        owner.ask(at(100), ask(n, 1_000), at(60_000));
+    }
+    let actions = owner.report(at(200), &"e1".into(), report(2, true, 0));
+    assert!(actions.contains(&Action::Reset {
+        endpoint: "e1".into(),
+        cause: Cause::Rebooted
+    }));
+    assert_eq!(owner.load(&"e1".into()).unwrap().0.requests, 2);
+}
+
+#[test]
+fn cold_word() {
+    let mut owner = owner(at(0), false);
+    owner.report(at(0), &"e1".into(), report(1, true, 0));
+    // Completions of an endpoint that says it is cold do not open the window.
+    for n in 0..10 {
+        let now = at(n * 1_000);
+        assert_eq!(
+            grants(&owner.ask(now, ask(n, 1_000), now + Duration::from_mins(1))).len(),
+            1
+        );
+        owner.started(now + Duration::from_millis(60), ticket(n), Tokens(0));
+        owner.release(now + Duration::from_millis(80), ticket(n), End::Done);
+    }
+    assert_eq!(owner.load(&"e1".into()).unwrap().1, capacity().cold);
+}
+
+#[test]
+fn unverified_endpoint() {
+    let mut owner = owner(at(0), false);
+    assert!(grants(&owner.ask(at(0), ask(1, 1_000), at(60_000))).is_empty());
+    assert_eq!(
+        grants(&owner.report(at(50), &"e1".into(), report(1, false, 0))).len(),
+        1
+    );
+}
+
+#[test]
+fn former_owner() {
+    let mut owner = owner(at(0), true);
+    owner.report(at(10), &"e1".into(), report(1, false, 2));
+    assert!(
+        grants(&owner.ask(at(20), ask(1, 1_000), at(60_000))).is_empty(),
+        "a former grant may be unused"
+    );
+    owner.report(at(1_100), &"e1".into(), report(1, true, 2));
+    assert!(
+        grants(&owner.tick(at(1_200))).is_empty(),
+        "two of the former owner's still run"
+    );
+    assert_eq!(
+        grants(&owner.report(at(1_300), &"e1".into(), report(1, true, 0))).len(),
+        1
+    );
+}
+
+#[test]
+fn two_owners() {
+    // While views differ, each side scales the window by the part of the roster that it sees.
+    let limit = |seen, roster| {
+        let mut owner = owner(at(0), false);
+        owner.set_share(Share { seen, roster });
+        owner.load(&"e1".into()).unwrap().1
+    };
+    for roster in 1..=9 {
+        for seen in 0..=roster {
+            let (left, right) = (limit(seen, roster), limit(roster - seen, roster));
+            let sum = left.plus(right);
+            assert!(
+                Load::default().fits(sum, capacity().cold),
+                "{seen} of {roster}: {sum:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn broken_stream() {
+    let mut owner = owner(at(0), false);
+    warm(&mut owner);
+    for n in 0..4 {
+        owner.ask(at(100), ask(n, 1_000), at(60_000));
+    }
+    let actions = owner.release(at(200), ticket(0), End::Broken);
+    assert!(actions.contains(&Action::Probe {
+        endpoint: "e1".into()
+    }));
+    assert!(
+        grants(&owner.ask(at(210), ask(9, 1_000), at(60_000))).is_empty(),
+        "not before it is verified"
+    );
+    assert_eq!(
+        grants(&owner.report(at(250), &"e1".into(), report(1, false, 3))).len(),
+        1
+    );
+}
+
+/// Something that happens in the property test.
+#[derive(Debug, Clone)]
+enum Happening {
+    Ask(u64),
+    Start(usize),
+    Release(usize, bool),
+    ColdReport,
+    WarmReport,
+    Reboot,
+    Tick,
+    Share(u32),
+}
+
+fn happening() -> impl Strategy<Value = Happening> {
+    prop_oneof![
+        8 => (500_u64..30_000).prop_map(Happening::Ask),
+        4 => (0_usize..64).prop_map(Happening::Start),
+        4 => ((0_usize..64), any::<bool>()).prop_map(|(i, b)| Happening::Release(i, b)),
+        1 => Just(Happening::ColdReport),
+        2 => Just(Happening::WarmReport),
+        1 => Just(Happening::Reboot),
+        2 => Just(Happening::Tick),
+        1 => (1_u32..=8).prop_map(Happening::Share),
+    ]
+}
+
+/// Books of a test: what it was granted and has not ended.
+#[derive(Default)]
+struct Books {
+    running: HashMap<Ticket, u64>,
+    boot: u64,
+    cold: bool,
+    share: Option<Share>,
+}
+
+impl Books {
+    /// Takes in actions; a grant to an endpoint known to be cold must stay within its bound.
+    fn take(&mut self, owner: &Owner, actions: &[Action], sizes: &HashMap<Ticket, u64>) {
+        for action in actions {
+            match action {
+                Action::Grant { ticket, .. } => {
+                    self.running.insert(*ticket, sizes[ticket]);
+                }
+                Action::Recall { ticket, .. } => drop(self.running.remove(ticket)),
+                _ => {}
+            }
+        }
+        let id: EndpointId = "e1".into();
+        let (load, limit) = owner.load(&id).unwrap();
+        assert_eq!(
+            load.requests as usize,
+            self.running.len(),
+            "the owner's count is exact"
+        );
+        if self.cold && actions.iter().any(|a| matches!(a, Action::Grant { .. })) {
+            let bound = capacity().cold;
+            assert!(
+                Load::default().fits(limit, bound),
+                "window beyond the cold bound: {limit:?}"
+            );
+            assert!(
+                Load::default().fits(load, bound),
+                "granted beyond the cold bound: {load:?}"
+            );
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 1_000, rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..Config::default() })]
+
+    #[test]
+    fn any_order(events in prop::collection::vec((happening(), 1_u64..400), 1..120)) {
+        let mut owner = owner(at(0), false);
+        let mut books = Books { boot: 1, ..Books::default() };
+        let mut sizes = HashMap::new();
+        let (mut now, mut next) = (0, 0);
+        for (event, step) in events {
+            now += step;
+            let t = at(now);
+            let nth = |books: &Books, i: usize| {
+                let mut all: Vec<_> = books.running.keys().copied().collect();
+                all.sort_unstable();
+                if all.is_empty() { None } else { Some(all[i % all.len()]) }
+            };
+            let actions = match event {
+                Happening::Ask(prompt) => {
+                    next += 1;
+                    sizes.insert(ticket(next), prompt);
+                    owner.ask(t, ask(next, prompt), at(now + 60_000))
+                }
+                Happening::Start(i) => match nth(&books, i) {
+                    Some(ticket) => owner.started(t, ticket, Tokens(0)),
+                    None => continue,
+                },
+                Happening::Release(i, broken) => match nth(&books, i) {
+                    Some(ticket) => {
+                        books.running.remove(&ticket);
+                        owner.release(t, ticket, if broken { End::Broken } else { End::Done })
+                    }
+                    None => continue,
+                },
+                Happening::ColdReport => {
+                    books.cold = true;
+                    owner.report(t, &"e1".into(), report(books.boot, true, books.running.len() as u32))
+                }
+                Happening::WarmReport => {
+                    books.cold = false;
+                    owner.report(t, &"e1".into(), report(books.boot, false, books.running.len() as u32))
+                }
+                Happening::Reboot => {
+                    books.cold = true;
+                    books.boot += 1;
+                    owner.report(t, &"e1".into(), report(books.boot, true, 0))
+                }
+                Happening::Tick => owner.tick(t),
+                Happening::Share(seen) => {
+                    let share = Share { seen, roster: 8 };
+                    books.share = Some(share);
+                    owner.set_share(share);
+                    continue;
+                }
+            };
+            books.take(&owner, &actions, &sizes);
+        }
+    }
+}
