Endpoints that keep refusing are left alone; failure tests of the whole path

Cause: refusing_engine failed with 503: a request remembered only the last endpoint that had failed it and went back and forth between two refusing engines until its retries were spent. Ruled out: a larger retry budget (it would only hide the ping-pong and feed a retry storm). Change: a request avoids all endpoints that failed it, as long as another will do; an endpoint that breaks requests in a row rests 250 ms, doubling to 10 s, one broken connection costs a probe only. joins_in_outage had no seeds in its settings, unlike a real deployment; it has them now. Owners tell entries the expected first token instead of the queue's wait alone.

--- a/chestnutstage/benches/service/baseline.rs
+++ b/chestnutstage/benches/service/baseline.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use chestnutstage_core::ids::RequestId;
-use chestnutstage_core::length::Tokens;
+use chestnutstage_core::length::{Class, Tokens};
 use chestnutstage_fakes::engine::Job;
 use tokio::time::{Instant, sleep};
 
@@ -19,6 +19,8 @@
 pub(crate) enum Choice {
     RoundRobin,
     LeastOutstanding,
+    /// The same, with the engines' priorities by length.
+    Prioritised,
 }
 
 /// A balancer before the engines, one an entry.
@@ -46,7 +48,7 @@
         let turn = self.turn[entry].fetch_add(1, Ordering::Relaxed);
         let index = match self.choice {
             Choice::RoundRobin => turn % engines.len(),
-            Choice::LeastOutstanding => {
+            Choice::LeastOutstanding | Choice::Prioritised => {
                 let counts = self.outstanding[entry].lock().expect("no panic under the lock");
                 let count = |i: &usize| (counts.get(i).copied().unwrap_or(0), (i + turn) % engines.len());
                 (0..engines.len()).min_by_key(count).unwrap_or(0)
@@ -67,9 +69,15 @@
         let asked = Instant::now();
         sleep(Duration::from_millis(2)).await;
         let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed) as u128);
+        let class = Class::of(Tokens(prompt as u64));
+        let priority = if self.choice == Choice::Prioritised {
+            class.priority()
+        } else {
+            0
+        };
         let job = Job {
             id,
-            priority: 0,
+            priority,
             prompt: Tokens(prompt as u64),
             output: Tokens(output),
             prefix: None,
--- a/chestnutstage/benches/service/fleet.rs
+++ b/chestnutstage/benches/service/fleet.rs
@@ -148,6 +148,7 @@
     pub(crate) routers: Vec<Router>,
     pub(crate) park: Arc<EnginePark>,
     instances: Vec<Unwired>,
+    salt: std::sync::atomic::AtomicU64,
 }
 
 /// How one completion went.
@@ -243,6 +244,7 @@
             routers,
             park,
             instances,
+            salt: 0.into(),
         };
         for change in changes {
             fleet.change(&change).await;
@@ -300,7 +302,9 @@
         prompt: usize,
         output: u64,
     ) -> Served {
-        let text = &filler[..prompt * 4];
+        // Every prompt starts differently, as the callers' do.
+        let salt = self.salt.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let text = format!("{salt:016x}{}", &filler[..prompt * 4 - 16]);
         let body = json!({
             "model": world::MODEL,
             "stream": true,
--- a/chestnutstage/benches/service/main.rs
+++ b/chestnutstage/benches/service/main.rs
@@ -13,6 +13,7 @@
 
 use baseline::{Baseline, Choice};
 use chestnutstage_config::fleet::Change;
+use chestnutstage_core::owner::Limits;
 use chestnutstage_fakes::load;
 use chestnutstage_fakes::world;
 use engines::EnginePark;
@@ -93,6 +94,7 @@
     gap: Duration,
     failed: usize,
     total: usize,
+    codes: BTreeMap<String, usize>,
 }
 
 fn quantile(sorted: &[Duration], q: f64) -> Duration {
@@ -118,6 +120,10 @@
         for one in served {
             first.entry(band(one.prompt)).or_default().extend(one.first);
         }
+        let mut codes = BTreeMap::new();
+        for code in served.iter().filter_map(|s| s.failure.clone()) {
+            *codes.entry(code).or_default() += 1;
+        }
         let three = |mut all: Vec<Duration>| {
             all.sort_unstable();
             [0.5, 0.95, 0.99].map(|q| quantile(&all, q))
@@ -127,6 +133,7 @@
             gap: quantile(&gaps, 0.95),
             failed: served.iter().filter(|s| s.failure.is_some()).count(),
             total: served.len(),
+            codes,
         }
     }
 
@@ -144,6 +151,9 @@
                 ms(p99)
             );
         }
+        if !self.codes.is_empty() {
+            println!("| {name} | refused: {:?} | | | | | |", self.codes);
+        }
         let gap = self.gap.as_secs_f64() * 1e3;
         println!(
             "| {name} | token gaps | | {gap:.0} | | {} | {} |",
@@ -153,8 +163,49 @@
 }
 
 fn first_changes() -> Vec<Change> {
+    changes_with(Limits::default())
+}
+
+/// First changes of a fleet with these limits.
+fn changes_with(limits: Limits) -> Vec<Change> {
     let customers = (1..=10).map(|i| (format!("c{i}"), key(i - 1))).collect();
-    world::first_changes(&customers, 50_000_000)
+    let mut changes = world::first_changes(&customers, 50_000_000);
+    if let Some(Change::SetDefaults(defaults)) = changes.first_mut() {
+        defaults.limits = limits;
+    }
+    changes
+}
+
+/// Shows what the limits do at 80 % load, so that the defaults rest on it.
+async fn sweep(deployment: Deployment) {
+    println!("\n## {}: sweep of the limits at 80 % load\n", deployment.name);
+    println!(
+        "| long at a time | reserve | short p95 ms | short p99 ms | medium p95 ms | long p95 ms | failed |\n|---|---|---|---|---|---|---|"
+    );
+    for long in [1, 2, 4] {
+        for reserve in [0.0, 0.2, 0.4, 0.6] {
+            let limits = Limits {
+                long,
+                reserve,
+                ..Limits::default()
+            };
+            let fleet = Arc::new(Fleet::start(&deployment, changes_with(limits), SEED).await);
+            let ask = stage(&fleet);
+            let load = Load {
+                time: Duration::from_secs(90),
+                ..SHARED
+            };
+            let figures = Figures::of(&drive(load, &deployment, SEED, &ask).await);
+            let ms = |band: &str, i: usize| figures.first.get(band).map_or(0, |f| f[i].as_millis());
+            let (short, tail) = (ms("1k-10k", 1), ms("1k-10k", 2));
+            let (medium, archive) = (ms("10k-100k", 1), ms("100k-1M", 1));
+            println!(
+                "| {long} | {reserve} | {short} | {tail} | {medium} | {archive} | {} |",
+                figures.failed
+            );
+            stop(fleet);
+        }
+    }
 }
 
 fn key(i: usize) -> String {
@@ -217,6 +268,7 @@
     for (name, choice) in [
         ("round robin", Choice::RoundRobin),
         ("least outstanding", Choice::LeastOutstanding),
+        ("least outstanding, priorities", Choice::Prioritised),
     ] {
         let ask = baseline(&deployment, choice);
         Figures::of(&drive(SHARED, &deployment, SEED, &ask).await).print(name);
@@ -229,7 +281,7 @@
         long: false,
         ..SHARED
     };
-    let alone = Figures::of(&drive(alone, &deployment, SEED + 1, &ask).await);
+    let alone = Figures::of(&drive(alone, &deployment, SEED, &ask).await);
     alone.print("chestnutstage, no long prompts");
     println!();
     let name = deployment.name;
@@ -418,6 +470,9 @@
     let only = std::env::var("SERVICE_BENCH").unwrap_or_default();
     let wanted = |name: &str| only.is_empty() || only == name;
     for deployment in [FROSTBANK, HENNABOEK] {
+        if only == "sweep" {
+            sweep(deployment).await;
+        }
         if wanted("first") {
             first_token(deployment, &mut bounds).await;
         }
--- a/chestnutstage/src/call.rs
+++ b/chestnutstage/src/call.rs
@@ -57,10 +57,10 @@
         let shared = &self.entry.shared;
         let _serving = Serving::new(shared, job.id);
         lock(&shared.budget).earn();
-        let (mut attempt, mut avoid) = (0, None);
+        let (mut attempt, mut avoid) = (0, Vec::new());
         let mut sending = Sending::Before;
         for retry in 0.. {
-            let seat = self.entry.place(job, &mut attempt, avoid.take()).await;
+            let seat = self.entry.place(job, &mut attempt, &avoid).await;
             let seat = seat.map_err(|r| Failure {
                 outcome: sending.outcome(),
                 ..Failure::refused(&r, None)
@@ -84,7 +84,7 @@
                     reason: error.to_string(),
                 },
             );
-            avoid = Some(endpoint);
+            avoid.push(endpoint);
             tokio::time::sleep(delay).await;
         }
         Err(Failure::unknown(
@@ -160,7 +160,7 @@
     /// Sends a claimed call, once.
     async fn send_once(&self, job: &Job, call: &Call, lost: &mut Option<Failure>) -> Event {
         let mut attempt = 0;
-        let seat = match self.entry.place(job, &mut attempt, None).await {
+        let seat = match self.entry.place(job, &mut attempt, &[]).await {
             Ok(seat) => seat,
             Err(refusal) => {
                 *lost = Some(Failure::refused(&refusal, None));
--- a/chestnutstage/src/completion.rs
+++ b/chestnutstage/src/completion.rs
@@ -116,9 +116,9 @@
         if let Some(segments) = self.segments() {
             return self.run_chained(segments).await;
         }
-        let mut avoid = None;
+        let mut avoid = Vec::new();
         loop {
-            let seat = self.entry.place(&self.job, &mut self.attempt, avoid.take());
+            let seat = self.entry.place(&self.job, &mut self.attempt, &avoid);
             let seat = tokio::select! {
                 seat = seat => seat,
                 () = self.out.closed() => return,
@@ -136,7 +136,7 @@
                         endpoint: failed,
                         reason,
                     });
-                    avoid = endpoint;
+                    avoid.extend(endpoint);
                 }
             }
             if let Some(failure) = self.pause_before_retry().await {
--- a/chestnutstage/src/entry.rs
+++ b/chestnutstage/src/entry.rs
@@ -108,7 +108,7 @@
 }
 
 impl Entry {
-    /// Gets a seat for `job`; `attempt` counts over the job's seats, `avoid` names an endpoint that failed it.
+    /// Gets a seat for `job`; `attempt` counts over the job's seats, `avoid` names the endpoints that failed it.
     ///
     /// # Errors
     ///
@@ -117,12 +117,12 @@
         &self,
         job: &Job,
         attempt: &mut u16,
-        avoid: Option<EndpointId>,
+        avoid: &[EndpointId],
     ) -> Result<Seat, Refusal> {
         let mut refusal = Refusal::NoEndpoint { retry: RETRY_DEFAULT };
         for round in 0..ROUNDS_MAX {
             self.shared.check_current()?;
-            match self.round(job, attempt, avoid.as_ref()).await {
+            match self.round(job, attempt, avoid).await {
                 Ok(seat) => return Ok(*seat),
                 Err(r) => refusal = r,
             }
@@ -152,7 +152,7 @@
         let mut refusal = Refusal::NoEndpoint { retry: RETRY_DEFAULT };
         for owner in candidates {
             let ticket = next_ticket(job, attempt);
-            match self.ask(job, ticket, None, &owner, false).await {
+            match self.ask(job, ticket, &[], &owner, false).await {
                 Asked::Seat(seat) => return Ok(*seat),
                 Asked::Refused(r) => refusal = r,
                 Asked::Lost => {}
@@ -162,12 +162,7 @@
     }
 
     /// Asks the candidates in turn, and waits at the one with the shortest queue if none has room.
-    async fn round(
-        &self,
-        job: &Job,
-        attempt: &mut u16,
-        avoid: Option<&EndpointId>,
-    ) -> Result<Box<Seat>, Refusal> {
+    async fn round(&self, job: &Job, attempt: &mut u16, avoid: &[EndpointId]) -> Result<Box<Seat>, Refusal> {
         let now = self.shared.clock.now();
         let candidates = lock(&self.shared.router).candidates(now, &job.model, job.size.class(), job.prefix);
         let mut refusal = Refusal::NoEndpoint { retry: RETRY_DEFAULT };
@@ -196,7 +191,7 @@
         &self,
         job: &Job,
         attempt: &mut u16,
-        avoid: Option<&EndpointId>,
+        avoid: &[EndpointId],
         owner: &InstanceId,
     ) -> Result<Box<Seat>, Refusal> {
         let ticket = next_ticket(job, attempt);
@@ -222,7 +217,7 @@
         &self,
         job: &Job,
         attempt: &mut u16,
-        avoid: Option<&EndpointId>,
+        avoid: &[EndpointId],
         queued: &InstanceId,
     ) -> Option<Box<Seat>> {
         let now = self.shared.clock.now();
@@ -239,7 +234,7 @@
         &self,
         job: &Job,
         ticket: Ticket,
-        avoid: Option<&EndpointId>,
+        avoid: &[EndpointId],
         owner: &InstanceId,
         patient: bool,
     ) -> Asked {
@@ -252,7 +247,7 @@
             size: job.size,
             prefix: job.prefix,
             patient,
-            avoid: avoid.cloned(),
+            avoid: avoid.to_vec(),
         };
         self.shared
             .journal
--- /dev/null
+++ b/chestnutstage/tests/broken_streams.rs
@@ -0,0 +1,130 @@
+//! Streams that fall silent, break, or lose their engine.
+
+mod common;
+
+use chestnutstage_fakes::endpoint::Fault;
+use common::{Deployment, error, until};
+use futures::StreamExt;
+use serde_json::Value;
+
+/// Texts of a stream's pieces, and its last event.
+async fn read(response: reqwest::Response) -> (Vec<String>, String) {
+    let body = response.text().await.unwrap();
+    let events: Vec<_> = body
+        .split("\n\n")
+        .filter_map(|e| e.trim().strip_prefix("data: "))
+        .collect();
+    let text = |e: &&str| {
+        let chunk: Value = serde_json::from_str(e).ok()?;
+        chunk["choices"][0]["delta"]["content"]
+            .as_str()
+            .map(str::to_owned)
+    };
+    (
+        events.iter().filter_map(text).collect(),
+        (*events.last().unwrap()).to_owned(),
+    )
+}
+
+fn expected(count: u64) -> Vec<String> {
+    (0..count).map(|n| format!("t{n} ")).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connection() {
+    let deployment = Deployment::start(2, 1).await;
+    let engine = &deployment.engines[0];
+    let stream = tokio::spawn(deployment.completion(0, "a long answer", 120, true).send());
+    until("the stream runs", async || engine.running() > 0).await;
+    engine.fail(Fault::Silence);
+    let (pieces, last) = read(stream.await.unwrap().unwrap()).await;
+    assert_eq!(last, "[DONE]");
+    assert_eq!(pieces, expected(120), "every piece once, in order");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_restart() {
+    let deployment = Deployment::start(2, 1).await;
+    let engine = &deployment.engines[0];
+    let response = deployment
+        .completion(0, "an answer cut short", 400, true)
+        .send()
+        .await
+        .unwrap();
+    let mut stream = response.bytes_stream();
+    stream.next().await.unwrap().unwrap();
+    engine.fail(Fault::Restart);
+    let mut rest = String::new();
+    while let Some(part) = stream.next().await {
+        rest.push_str(&String::from_utf8_lossy(&part.unwrap()));
+    }
+    assert!(
+        rest.contains("\"outcome\":\"unknown\""),
+        "an explicit error, not a silent end"
+    );
+    assert!(!rest.contains("[DONE]"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusing_engine() {
+    let deployment = Deployment::start(2, 3).await;
+    for engine in &deployment.engines[..2] {
+        engine.fail(Fault::Refuse);
+    }
+    for i in 0..6 {
+        assert_eq!(deployment.ask(i % 2, "goes elsewhere", 3).await.status(), 200);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hanging_engine() {
+    let deployment = Deployment::start(2, 2).await;
+    deployment.engines[0].fail(Fault::Hang);
+    for i in 0..4 {
+        assert_eq!(deployment.ask(i % 2, "goes elsewhere", 3).await.status(), 200);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_hangs_up() {
+    let deployment = Deployment::start(2, 1).await;
+    let engine = &deployment.engines[0];
+    let response = deployment
+        .completion(0, "never read", 4_000, true)
+        .send()
+        .await
+        .unwrap();
+    until("the stream runs", async || engine.running() > 0).await;
+    drop(response);
+    until("the engine is free at once", async || engine.running() == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_passes() {
+    let deployment = Deployment::start(2, 1).await;
+    let engine = &deployment.engines[0];
+    // The engine turns cold without notice, so that an answer that was admitted can't be finished in time.
+    engine.fail(Fault::Cold);
+    let request = deployment
+        .completion(0, "too slow", 60, false)
+        .header("x-request-timeout-ms", 2_000);
+    let answer = request.send().await.unwrap();
+    assert_eq!(answer.status(), 504);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert_eq!(error(answer).await["outcome"], "unknown");
+    until("the engine's work is cancelled", async || engine.running() == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hopeless_request() {
+    let deployment = Deployment::start(2, 1).await;
+    let before = deployment.engines[0].submitted();
+    let request = deployment
+        .completion(0, "no time at all", 10_000, false)
+        .header("x-request-timeout-ms", 500);
+    let answer = request.send().await.unwrap();
+    assert_eq!(answer.status(), 429);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert_eq!(error(answer).await["outcome"], "not_run");
+    assert_eq!(deployment.engines[0].submitted(), before);
+}
--- a/chestnutstage/tests/common/mod.rs
+++ b/chestnutstage/tests/common/mod.rs
@@ -91,9 +91,15 @@
         for i in 0..instances {
             let id = format!("i{}", i + 1);
             authority.sign(&folder, &id);
-            let instance = Instance::start(settings(&folder, &id, ZONES[i % 3], &platform.url()))
-                .await
-                .unwrap();
+            let instance = Instance::start(settings(
+                &folder,
+                &id,
+                ZONES[i % 3],
+                &platform.url(),
+                &Listing::default(),
+            ))
+            .await
+            .unwrap();
             listing.instances.push(Listed {
                 id,
                 peer: instance.peer(),
@@ -118,8 +124,24 @@
     /// Starts another instance, known to the platform's list.
     pub async fn join(&mut self, id: &str, zone: &str) {
         Authority::load(&self.folder).sign(&self.folder, id);
-        let settings = settings(&self.folder, id, zone, &self.platform.url());
-        let instance = Instance::start(settings).await.unwrap();
+        let settings = settings(&self.folder, id, zone, &self.platform.url(), &self.listing);
+        self.enlist(id, zone, Instance::start(settings).await.unwrap());
+    }
+
+    /// Starts an instance with the certificates of another fleet, and lists it.
+    pub async fn join_from(&mut self, folder: &Path, id: &str, zone: &str) {
+        let settings = settings(folder, id, zone, &self.platform.url(), &self.listing);
+        self.enlist(id, zone, Instance::start(settings).await.unwrap());
+    }
+
+    /// Starts an instance with a certificate that is made out to another name, and lists it.
+    pub async fn join_as(&mut self, id: &str, name: &str) {
+        Authority::load(&self.folder).sign_as(&self.folder, id, name);
+        let settings = settings(&self.folder, id, "a", &self.platform.url(), &self.listing);
+        self.enlist(id, "a", Instance::start(settings).await.unwrap());
+    }
+
+    fn enlist(&mut self, id: &str, zone: &str, instance: Instance) {
         let listed = Listed {
             id: id.into(),
             peer: instance.peer(),
@@ -271,14 +293,14 @@
     response.json::<Value>().await.unwrap()["error"].clone()
 }
 
-fn settings(folder: &Path, id: &str, zone: &str, platform: &str) -> Settings {
+fn settings(folder: &Path, id: &str, zone: &str, platform: &str, seeds: &Listing) -> Settings {
     let operators = BTreeMap::from([("north", NORTH), ("south", SOUTH)].map(|(o, t)| (o.into(), t.into())));
     let world = World {
         platform: platform.trim_start_matches("http://").into(),
         callers: BTreeMap::from([(id.into(), "http://127.0.0.1:0".into())]),
         customers: BTreeMap::new(),
         operators,
-        listing: Listing::default(),
+        listing: seeds.clone(),
     };
     let peer = "127.0.0.1:0".parse().unwrap();
     let listed = Listed {
--- a/chestnutstage_core/src/owner.rs
+++ b/chestnutstage_core/src/owner.rs
@@ -29,6 +29,11 @@
 const RETRY_MIN: Duration = Duration::from_secs(1);
 /// Longest delay after which a caller is told to come back.
 const RETRY_MAX: Duration = Duration::from_secs(30);
+/// A typical short request.
+const TYPICAL: Size = Size {
+    prompt: Tokens(2_000),
+    output: Tokens(0),
+};
 /// Wait assumed while every window is too small for a request.
 const WINDOW_WAIT: Duration = Duration::from_secs(5);
 /// Time past its deadline after which a request that its entry never ended is taken off the books.
@@ -73,8 +78,8 @@
     pub prefix: Option<u64>,
     /// Whether to queue when nothing is free.
     pub patient: bool,
-    /// An endpoint that failed this request before.
-    pub avoid: Option<EndpointId>,
+    /// Endpoints that failed this request before.
+    pub avoid: Vec<EndpointId>,
 }
 
 /// Why a grant was taken back.
@@ -148,7 +153,7 @@
 pub struct Summary {
     /// Requests that could start at once.
     pub free: u32,
-    /// Expected wait for a new short request.
+    /// Expected time to the first token of a typical short request.
     pub wait: Duration,
 }
 
@@ -347,7 +352,7 @@
         }
         let mut actions = Vec::new();
         if end == End::Broken {
-            slots.doubt();
+            slots.failed(now);
             actions.push(Action::Probe { endpoint: id });
         }
         actions.extend(self.dispatch(now));
@@ -459,21 +464,25 @@
 
     /// Room for `model`, as told to entries.
     pub fn summary(&self, model: &ModelId) -> Summary {
-        let free = self
-            .serving(model)
-            .map(|s| {
-                s.window
-                    .limit(self.share)
-                    .requests
-                    .saturating_sub(s.load().requests)
-            })
-            .sum();
+        let free = |s: &Slots| self.share_of(s).saturating_sub(s.load().requests);
+        let open: Vec<_> = self.serving(model).filter(|s| free(s) > 0).collect();
+        let soonest = open
+            .iter()
+            .map(|s| s.first_token(TYPICAL, Tokens(0)))
+            .min()
+            .unwrap_or_default();
+        let wait = self.wait(model, Class::Short) + soonest;
         Summary {
-            free,
-            wait: self.wait(model, Class::Short),
+            free: open.into_iter().map(free).sum(),
+            wait,
         }
     }
 
+    /// Requests that an endpoint may run at a time.
+    fn share_of(&self, slots: &Slots) -> u32 {
+        slots.window.limit(self.share).requests
+    }
+
     fn serving<'a>(&'a self, model: &'a ModelId) -> impl Iterator<Item = &'a Slots> {
         self.slots.values().filter(move |s| {
             s.service == Service::In && !s.endpoint.leaving && s.endpoint.models.contains(model)
@@ -545,8 +554,10 @@
     /// The endpoint on which `ask` would start soonest, of those that accept it now.
     fn best(&self, now: Time, ask: &Ask) -> Option<EndpointId> {
         let class = ask.size.class();
+        // A request that waits here has found no better place; then an endpoint that failed it is better than none.
+        let avoided = |s: &Slots| ask.avoid.contains(&s.endpoint.id);
         self.serving(&ask.model)
-            .filter(|s| ask.avoid.as_ref() != Some(&s.endpoint.id) || self.slots.len() == 1)
+            .filter(|s| ask.patient || !avoided(s))
             .filter(|s| s.accepts(now, ask.size, self.share))
             .filter(|s| class != Class::Long || self.accepts_long(s))
             .min_by_key(|s| {
@@ -560,7 +571,7 @@
                     .prefill(cached)
                     .min(Duration::from_secs_f64(self.limits.affinity));
                 let first = s.first_token(ask.size, Tokens(0)).saturating_sub(worth);
-                (first, s.load().requests, &s.endpoint.id)
+                (avoided(s), first, s.load().requests, &s.endpoint.id)
             })
             .map(|s| s.endpoint.id.clone())
     }
--- a/chestnutstage_core/src/route.rs
+++ b/chestnutstage_core/src/route.rs
@@ -22,7 +22,7 @@
 /// Age after which a summary says nothing.
 const SUMMARY_LIFE: Duration = Duration::from_secs(2);
 /// Wait assumed of an owner that nothing is known of.
-const UNKNOWN_WAIT: Duration = Duration::from_millis(5);
+const UNKNOWN_WAIT: Duration = Duration::from_millis(100);
 /// Wait assumed of an owner that said it had nothing free, on top of its queue.
 const FULL_WAIT: Duration = Duration::from_millis(100);
 /// Cost of leaving the zone, on top of the link's delay.
--- a/chestnutstage_core/src/slots.rs
+++ b/chestnutstage_core/src/slots.rs
@@ -19,6 +19,10 @@
 
 /// Slowdown assumed of an endpoint that says it is in cold start.
 const COLD_ESTIMATE: f64 = 3.0;
+/// Rest of an endpoint after two broken requests in a row; doubles with each further one.
+const FAILURE_REST: Duration = Duration::from_millis(250);
+/// Longest rest of an endpoint that keeps breaking requests.
+const FAILURE_REST_MAX: Duration = Duration::from_secs(10);
 /// Lag of load reports behind the truth, at the most.
 const REPORT_LAG: Duration = Duration::from_secs(3);
 
@@ -63,6 +67,8 @@
     load: Load,
     memory: Tokens,
     long: u32,
+    /// Requests that broke since the last first token.
+    failures: u32,
 }
 
 /// Shows a map as a list of pairs, for formats whose keys must be text.
@@ -91,6 +97,7 @@
             load: Load::default(),
             memory: Tokens(0),
             long: 0,
+            failures: 0,
         }
     }
 
@@ -176,6 +183,7 @@
             return None;
         }
         flight.started = true;
+        self.failures = 0;
         self.load.tokens = self.load.tokens.saturating_sub(flight.size.load().tokens);
         let took = now.since(flight.granted);
         let slowdown = took.as_secs_f64() / flight.expected.as_secs_f64();
@@ -234,9 +242,17 @@
         }
     }
 
-    /// Stops grants until the endpoint has shown that it still lives the same life.
-    pub(crate) const fn doubt(&mut self) {
+    /// Takes in that a request broke: no grant until the endpoint has shown which life it is in.
+    ///
+    /// One broken connection is no more than that. An endpoint that breaks one request after another is left alone
+    /// for longer and longer.
+    pub(crate) fn failed(&mut self, now: Time) {
         self.verified = false;
+        let rest = FAILURE_REST * 2_u32.saturating_pow(self.failures.min(16));
+        if self.failures > 0 {
+            self.hold = self.hold.max(now + rest.min(FAILURE_REST_MAX));
+        }
+        self.failures += 1;
     }
 
     /// Takes in the boot id of an answer; tells whether it closed the window.
--- a/chestnutstage_core/tests/common/mod.rs
+++ b/chestnutstage_core/tests/common/mod.rs
@@ -78,7 +78,7 @@
         },
         prefix: None,
         patient: true,
-        avoid: None,
+        avoid: Vec::new(),
     }
 }
 
