Waiting requests hear from their owner on every path; benches of decisions and capacity

Ruled out: missing endpoints (the owners had them), and the zone's own owners (the refused ones came from all zones). Change: the owner itself repeats it each second, whatever carries the words. Test: long_wait, which found owner_lost in the decisions before and not after.

--- /dev/null
+++ b/chestnutstage/benches/capacity/exchange.rs
@@ -0,0 +1,147 @@
+//! A fleet's membership in one process: real state machines and real encodings, no network.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use chestnutstage::link::message::{self, Reply, Request};
+use chestnutstage_core::ids::{Incarnation, InstanceId, Version};
+use chestnutstage_core::inforce::Fresh;
+use chestnutstage_core::members::{Action, Gossip, Health, Member, Members, ModelSet};
+use chestnutstage_core::time::Time;
+
+/// Step of virtual time, in milliseconds.
+const STEP: u64 = 50;
+/// Quiet time that is measured, in milliseconds.
+const QUIET: u64 = 20_000;
+
+/// What membership costs one node.
+pub(crate) struct Cost {
+    /// Payload bytes sent and received a second, with nothing new.
+    pub(crate) bytes: f64,
+    /// Payload bytes for the news of one change, sent and received.
+    pub(crate) churn_bytes: f64,
+    /// Processor seconds a second.
+    pub(crate) seconds: f64,
+    /// Bytes of state.
+    pub(crate) memory: f64,
+}
+
+struct Exchange {
+    views: BTreeMap<InstanceId, Members>,
+    now: u64,
+    bytes: f64,
+    spent: Duration,
+}
+
+fn member(n: usize) -> Member {
+    Member {
+        id: format!("i{n}").as_str().into(),
+        zone: format!("z{}", n % 12).as_str().into(),
+        address: ([10, 0, (n / 250) as u8, (n % 250) as u8], 9_080).into(),
+        incarnation: Incarnation(1_796_000_000_000),
+        health: Health::Alive,
+        models: ModelSet::default(),
+    }
+}
+
+fn gossip(view: &mut Members) -> Gossip {
+    let fresh = Some(Fresh {
+        version: Version(23_000),
+        age: Duration::from_millis(700),
+    });
+    Gossip {
+        from: view.me().id.clone(),
+        version: Version(23_000),
+        fresh,
+        news: view.news(),
+    }
+}
+
+impl Exchange {
+    fn run(&mut self, millis: u64) {
+        for _ in 0..millis / STEP {
+            self.now += STEP;
+            let now = Time::from_millis(self.now);
+            let names: Vec<_> = self.views.keys().cloned().collect();
+            for name in names {
+                let start = Instant::now();
+                let actions = self.views.get_mut(&name).map(|v| v.tick(now)).unwrap_or_default();
+                self.spent += start.elapsed();
+                for action in actions {
+                    if let Action::Probe { peer, .. } = action {
+                        self.probe(now, &name, &peer);
+                    }
+                }
+            }
+        }
+    }
+
+    /// One probe and its answer, encoded and decoded as on a link.
+    fn probe(&mut self, now: Time, from: &InstanceId, to: &InstanceId) {
+        let start = Instant::now();
+        let Some(asked) = self.views.get_mut(from).map(gossip) else {
+            return;
+        };
+        let frame = message::encode(&Request::Gossip(asked)).unwrap_or_default();
+        let Ok(Request::Gossip(asked)) = message::decode(&frame) else {
+            return;
+        };
+        let Some(receiver) = self.views.get_mut(to) else {
+            return;
+        };
+        receiver.learn(now, asked.news);
+        let answer = message::encode(&Reply::Gossip(gossip(receiver))).unwrap_or_default();
+        let Ok(Reply::Gossip(heard)) = message::decode::<Reply>(&answer) else {
+            return;
+        };
+        if let Some(sender) = self.views.get_mut(from) {
+            sender.learn(now, heard.news);
+        }
+        self.spent += start.elapsed();
+        // Each byte is sent by one node and received by another.
+        self.bytes += 2.0 * (frame.len() + answer.len()) as f64;
+    }
+
+    fn take(&mut self) -> (f64, f64) {
+        let out = (self.bytes, self.spent.as_secs_f64());
+        (self.bytes, self.spent) = (0.0, Duration::ZERO);
+        out
+    }
+}
+
+/// Runs a fleet of `count` nodes until it is quiet, then through one change.
+pub(crate) fn run(count: usize) -> Cost {
+    let all: Vec<_> = (0..count).map(member).collect();
+    let view = |me: &Member| {
+        let mut view = Members::new(Time::ZERO, me.clone());
+        view.learn(Time::ZERO, all.clone());
+        view
+    };
+    let (probe, memory) = crate::held(|| view(&all[0]));
+    drop(probe);
+    let views = all.iter().map(|m| (m.id.clone(), view(m))).collect();
+    let mut exchange = Exchange {
+        views,
+        now: 0,
+        bytes: 0.0,
+        spent: Duration::ZERO,
+    };
+    // The news of the start must have run out.
+    exchange.run(120_000);
+    exchange.take();
+    exchange.run(QUIET);
+    let (quiet, spent) = exchange.take();
+    let first = all[0].id.clone();
+    if let Some(changed) = exchange.views.get_mut(&first) {
+        changed.leave(Health::Leaving);
+    }
+    exchange.run(QUIET);
+    let (changed, _) = exchange.take();
+    let (nodes, time) = (count as f64, QUIET as f64 / 1e3);
+    Cost {
+        bytes: quiet / nodes / time,
+        churn_bytes: (changed - quiet).max(0.0) / nodes,
+        seconds: spent / nodes / time,
+        memory,
+    }
+}
--- a/chestnutstage/src/actor/owner.rs
+++ b/chestnutstage/src/actor/owner.rs
@@ -26,6 +26,8 @@
 
 /// Interval between reads of an endpoint's load report.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which a waiting request hears that it still waits.
+const QUEUED_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval between reads while the endpoint must show that it is alive.
 const DOUBT_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -42,6 +44,9 @@
 struct Entry {
     model: ModelId,
     words: mpsc::UnboundedSender<OwnerWord>,
+    granted: bool,
+    /// When it last heard a word.
+    told: Time,
 }
 
 /// A request for an endpoint.
@@ -106,9 +111,10 @@
                 address,
                 waited,
             } => {
-                let Some(entry) = self.entries.get(&ticket) else {
+                let Some(entry) = self.entries.get_mut(&ticket) else {
                     return;
                 };
+                entry.granted = true;
                 let summary = self.core.summary(&entry.model);
                 counter!("chestnutstage_grants_total").increment(1);
                 let _ = entry.words.send(OwnerWord::Granted {
@@ -196,6 +202,17 @@
         }
     }
 
+    /// Tells those that wait that they still do, so that they don't take the silence for the owner's death.
+    fn reassure(&mut self) {
+        let now = self.shared.clock.now();
+        for entry in self.entries.values_mut() {
+            if !entry.granted && now.since(entry.told) >= QUEUED_INTERVAL {
+                entry.told = now;
+                let _ = entry.words.send(OwnerWord::Queued);
+            }
+        }
+    }
+
     /// Journals what is taken over and what is given up.
     fn note_ownership(&self, view: &View) {
         let had: BTreeSet<_> = self.core.endpoints().map(|e| e.id.clone()).collect();
@@ -220,6 +237,8 @@
         let entry = Entry {
             model: msg.ask.model.clone(),
             words: msg.words,
+            granted: false,
+            told: now,
         };
         self.entries.insert(msg.ask.ticket, entry);
         let actions = self.core.ask(now, msg.ask, now + msg.remaining);
@@ -302,6 +321,7 @@
         let actions = self.core.tick(now);
         self.perform(actions, ctx.actor_ref());
         self.poll_due(ctx.actor_ref());
+        self.reassure();
         gauge!("chestnutstage_queued_requests").set(self.core.queued() as f64);
         let gone: Vec<_> = self
             .entries
--- a/chestnutstage/src/config.rs
+++ b/chestnutstage/src/config.rs
@@ -26,7 +26,7 @@
 
 /// A version of the configuration, indexed for use.
 #[derive(Debug, Default)]
-pub(crate) struct Snapshot {
+pub struct Snapshot {
     pub(crate) config: FleetConfig,
     keys: HashMap<KeyHash, CustomerId>,
     contracts: HashMap<CustomerId, Contract>,
@@ -34,7 +34,8 @@
 }
 
 impl Snapshot {
-    fn new(config: FleetConfig) -> Self {
+    /// Indexes a configuration.
+    pub fn new(config: FleetConfig) -> Self {
         let keys = config
             .customers
             .iter()
--- a/chestnutstage/src/instance.rs
+++ b/chestnutstage/src/instance.rs
@@ -231,6 +231,7 @@
         inner
             .tasks
             .push(tokio::spawn(link.clone().serve(inner.handler.clone())));
+        inner.tasks.push(tokio::spawn(link.clone().watch_traffic()));
         inner.tasks.push(tokio::spawn(serve(
             listener,
             inner.router.clone(),
--- a/chestnutstage/src/lib.rs
+++ b/chestnutstage/src/lib.rs
@@ -33,5 +33,6 @@
 mod spread;
 mod view;
 
+pub use config::Snapshot;
 pub use instance::{Instance, StartError, Unwired};
 pub use shared::Adapters;
--- a/chestnutstage/src/link/quic.rs
+++ b/chestnutstage/src/link/quic.rs
@@ -14,7 +14,7 @@
 use futures::future::BoxFuture;
 use futures::{FutureExt, SinkExt, StreamExt};
 use log::{debug, warn};
-use metrics::counter;
+use metrics::{counter, gauge};
 use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -30,8 +30,8 @@
 const FRAME_MAX: usize = 4 << 20;
 /// Time limit for a connection to open.
 const CONNECT_LIMIT: Duration = Duration::from_millis(800);
-/// Interval at which a waiting request hears that it still waits.
-const QUEUED_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which the traffic is shown in the metrics.
+const TRAFFIC_INTERVAL: Duration = Duration::from_secs(1);
 /// Largest length of an instance's name.
 const NAME_MAX: usize = 255;
 
@@ -77,6 +77,24 @@
         }
     }
 
+    /// UDP bytes sent and received on the connections that this instance opened and that are still open.
+    fn note_traffic(&self) {
+        let stats: Vec<_> = self.lock().values().map(Connection::stats).collect();
+        let sent: u64 = stats.iter().map(|s| s.udp_tx.bytes).sum();
+        let received: u64 = stats.iter().map(|s| s.udp_rx.bytes).sum();
+        gauge!("chestnutstage_link_connections").set(stats.len() as f64);
+        gauge!("chestnutstage_link_sent_bytes").set(sent as f64);
+        gauge!("chestnutstage_link_received_bytes").set(received as f64);
+    }
+
+    /// Shows the traffic on the links in the metrics, for as long as the instance runs.
+    pub(crate) async fn watch_traffic(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(TRAFFIC_INTERVAL).await;
+            self.note_traffic();
+        }
+    }
+
     /// Closes all links.
     pub(crate) fn close(&self) {
         self.endpoint.close(0_u32.into(), b"leaving");
@@ -305,12 +323,10 @@
     let ticket = ask.ticket;
     let (words, mut said) = mpsc::unbounded_channel();
     handler.ask(ask, remaining, words);
-    let mut granted = false;
     loop {
         tokio::select! {
             word = said.recv() => {
                 let Some(word) = word else { break };
-                granted |= matches!(word, OwnerWord::Granted { .. });
                 let refused = matches!(word, OwnerWord::Refused { .. });
                 if put(&mut writer, &word).await.is_err() || refused {
                     break;
@@ -321,11 +337,6 @@
                     return;
                 }
             }
-            () = tokio::time::sleep(QUEUED_INTERVAL), if !granted => {
-                if put(&mut writer, &OwnerWord::Queued).await.is_err() {
-                    break;
-                }
-            }
         }
     }
     let _ = writer.get_mut().finish();
--- a/chestnutstage/tests/broken_streams.rs
+++ b/chestnutstage/tests/broken_streams.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
+use chestnutstage_config::fleet::{Change, Exception, Rule};
+use chestnutstage_core::length::Tokens;
+use chestnutstage_core::window::{Capacity, Load};
 use chestnutstage_fakes::endpoint::Fault;
-use common::{Deployment, error, until};
+use common::{Deployment, NORTH, error, until};
 use futures::StreamExt;
 use serde_json::Value;
 
@@ -115,6 +118,53 @@
     until("the engine's work is cancelled", async || engine.running() == 0).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn long_wait() {
+    // Whoever waits longer in a queue than an owner may be silent keeps its place.
+    for instances in [1, 2] {
+        let deployment = Deployment::start(instances, 1).await;
+        let engine = deployment.engines[0].listing().id;
+        let exception = Change::AddException(
+            "narrow".into(),
+            Exception {
+                rule: Rule::Capacity {
+                    endpoint: engine,
+                    capacity: narrow(),
+                },
+                reason: "this engine is on loan to the night shift".into(),
+            },
+        );
+        let base = deployment.version(0).await;
+        let answer = deployment.change(0, NORTH, base, "", &exception).await;
+        assert_eq!(answer.status(), 200, "{:?}", answer.text().await);
+        let first = tokio::spawn(deployment.completion(0, "holds the engine", 500, false).send());
+        until("the first runs", async || deployment.engines[0].running() > 0).await;
+        let second = deployment.ask(0, "waits for it", 2).await;
+        assert_eq!(second.status(), 200);
+        let id = second.headers()["x-request-id"].to_str().unwrap();
+        let explained = deployment
+            .operator(0, NORTH, &format!("operator/explain/{id}"))
+            .await;
+        assert!(
+            !explained.to_string().contains("owner_lost"),
+            "taken for dead: {explained}"
+        );
+        assert_eq!(first.await.unwrap().unwrap().status(), 200);
+    }
+}
+
+/// Room for one request at a time.
+fn narrow() -> Capacity {
+    let load = Load {
+        requests: 1,
+        tokens: Tokens(100_000),
+    };
+    Capacity {
+        cold: load,
+        warm: load,
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn hopeless_request() {
     let deployment = Deployment::start(2, 1).await;
--- /dev/null
+++ b/chestnutstage_core/benches/decisions.rs
@@ -0,0 +1,200 @@
+//! Cost of single decisions, with the bounds that the users' targets set.
+//!
+//! `cargo bench --bench decisions` measures with criterion, then fails if the median of a decision crosses its bound.
+
+use std::collections::BTreeSet;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use chestnutstage_core::endpoint::{Endpoint, Kind, Report, Size, Speed};
+use chestnutstage_core::ids::{BootId, InstanceId, ModelId, RequestId, Ticket, ZoneId};
+use chestnutstage_core::length::{Class, Tokens};
+use chestnutstage_core::members::ModelSet;
+use chestnutstage_core::owner::{Ask, End, Limits, Owner};
+use chestnutstage_core::route::{Peer, Router};
+use chestnutstage_core::time::Time;
+use chestnutstage_core::window::{Capacity, Load};
+use criterion::{BatchSize, BenchmarkId, Criterion};
+
+/// Bound on one routing decision among [`ROUTED`] candidates.
+const ROUTE_BOUND: Duration = Duration::from_micros(20);
+/// Candidates for the bound on routing.
+const ROUTED: usize = 64;
+/// Bound on one admission before [`QUEUED`] waiting requests.
+const ADMIT_BOUND: Duration = Duration::from_micros(10);
+/// Waiting requests for the bound on admission.
+const QUEUED: u64 = 10_000;
+/// Repetitions of which the median counts.
+const REPEATS: usize = 2_001;
+
+fn model() -> ModelId {
+    "m".into()
+}
+
+fn router(count: usize) -> Router {
+    let mut router = Router::new("a".into(), 1);
+    let peers: Vec<(InstanceId, ZoneId)> = (0..count)
+        .map(|i| (format!("i{i}").as_str().into(), ["a", "b", "c"][i % 3].into()))
+        .collect();
+    let models = ModelSet::of([&model()]);
+    let views = peers.iter().map(|(id, zone)| Peer { id, zone, models });
+    router.set_peers(views, &BTreeSet::from([model()]));
+    router
+}
+
+fn ask(n: u64) -> Ask {
+    Ask {
+        ticket: Ticket {
+            request: RequestId(u128::from(n) << 16),
+            attempt: 0,
+        },
+        customer: format!("c{}", n % 100).as_str().into(),
+        weight: 1,
+        model: model(),
+        size: Size {
+            prompt: Tokens(1_000 + n % 5_000),
+            output: Tokens(50),
+        },
+        prefix: Some(n % 50),
+        patient: true,
+        avoid: Vec::new(),
+    }
+}
+
+fn owner(endpoints: usize, queued: u64) -> Owner {
+    let mut owner = Owner::new(Limits::default());
+    let load = Load {
+        requests: 4,
+        tokens: Tokens(100_000),
+    };
+    for i in 0..endpoints {
+        let id = format!("e{i}");
+        owner.adopt(
+            Time::ZERO,
+            Endpoint {
+                id: id.as_str().into(),
+                zone: "a".into(),
+                address: String::new(),
+                kind: Kind::Engine,
+                models: vec![model()],
+                capacity: Capacity {
+                    cold: load,
+                    warm: load,
+                },
+                speed: Speed {
+                    prefill: 60_000,
+                    step: 20_000,
+                },
+                memory: Tokens(450_000),
+                fenced: true,
+                leaving: false,
+            },
+            false,
+        );
+        let report = Report {
+            boot: BootId(1),
+            cold: false,
+            running: 0,
+            held: Tokens(0),
+        };
+        owner.report(Time::ZERO, &id.as_str().into(), report);
+    }
+    for n in 0..queued {
+        owner.ask(Time::ZERO, ask(n), Time::NEVER);
+    }
+    owner
+}
+
+/// Median time of `step`, over many repetitions.
+fn median(mut step: impl FnMut(u64)) -> Duration {
+    let mut times: Vec<_> = (0..REPEATS as u64)
+        .map(|n| {
+            let start = Instant::now();
+            step(n);
+            start.elapsed()
+        })
+        .collect();
+    times.sort_unstable();
+    times[REPEATS / 2]
+}
+
+fn routing(c: &mut Criterion) {
+    let mut group = c.benchmark_group("route");
+    for count in [8, 64, 200, 670, 1_000] {
+        let mut router = router(count);
+        group.bench_with_input(BenchmarkId::from_parameter(count), &count, |b, _| {
+            b.iter(|| black_box(router.candidates(Time::ZERO, &model(), Class::Short, Some(7))));
+        });
+    }
+    group.finish();
+}
+
+fn admission(c: &mut Criterion) {
+    let mut group = c.benchmark_group("admit");
+    for queued in [0, 100, 1_000, 10_000] {
+        let mut owner = owner(15, queued);
+        let mut n = queued;
+        group.bench_with_input(BenchmarkId::from_parameter(queued), &queued, |b, _| {
+            b.iter_batched(
+                || {
+                    n += 1;
+                    ask(n)
+                },
+                |wanted| {
+                    let ticket = wanted.ticket;
+                    black_box(owner.ask(Time::ZERO, wanted, Time::NEVER));
+                    owner.release(Time::ZERO, ticket, End::Done)
+                },
+                BatchSize::SmallInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+fn check(what: &str, took: Duration, bound: Duration) -> bool {
+    let holds = took <= bound;
+    println!(
+        "{} {what}: median {took:?}, bound {bound:?}",
+        if holds { "ok  " } else { "FAIL" }
+    );
+    holds
+}
+
+fn bounds() -> bool {
+    let mut router = router(ROUTED);
+    let choice = median(|n| {
+        black_box(router.candidates(Time::ZERO, &model(), Class::Short, Some(n)));
+    });
+    let mut owner = owner(15, QUEUED);
+    let mut admitted = Duration::ZERO;
+    for n in 0..REPEATS as u64 {
+        let wanted = ask(QUEUED + n);
+        let start = Instant::now();
+        black_box(owner.ask(Time::ZERO, wanted, Time::NEVER));
+        admitted += start.elapsed();
+    }
+    let admitted = admitted / REPEATS as u32;
+    let first = check(&format!("routing among {ROUTED} candidates"), choice, ROUTE_BOUND);
+    let second = check(
+        &format!("admission before {QUEUED} waiting requests (mean)"),
+        admitted,
+        ADMIT_BOUND,
+    );
+    first && second
+}
+
+fn main() {
+    // `cargo test` builds benches and runs them without this flag; the bench has no business there.
+    if !std::env::args().any(|a| a == "--bench") {
+        return;
+    }
+    let mut c = Criterion::default()
+        .without_plots()
+        .warm_up_time(Duration::from_millis(200))
+        .measurement_time(Duration::from_millis(800))
+        .sample_size(20);
+    routing(&mut c);
+    admission(&mut c);
+    assert!(bounds(), "a bound is crossed");
+}
