A changed capacity holds for endpoints that are owned already

A real fault: an accepted exception was not in force on endpoints owned already. Change: the window takes the capacity of each listing.

--- a/chestnutstage_core/src/owner.rs
+++ b/chestnutstage_core/src/owner.rs
@@ -211,7 +211,7 @@
     /// lapsed, and what the endpoint reports as running is counted as load until it ends.
     pub fn adopt(&mut self, now: Time, endpoint: Endpoint, former: bool) {
         if let Some(slots) = self.slots.get_mut(&endpoint.id) {
-            slots.endpoint = endpoint;
+            slots.relist(endpoint);
             return;
         }
         let hold = if former { now + GRANT_LIFE } else { now };
--- a/chestnutstage_core/src/slots.rs
+++ b/chestnutstage_core/src/slots.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// Takes in a new listing, which may have another capacity.
+    pub(crate) fn relist(&mut self, endpoint: Endpoint) {
+        self.window.resize(endpoint.capacity);
+        self.endpoint = endpoint;
+    }
+
     /// Load granted by this owner.
     pub(crate) const fn load(&self) -> Load {
         self.load
--- a/chestnutstage_core/src/window.rs
+++ b/chestnutstage_core/src/window.rs
@@ -106,6 +106,13 @@
         }
     }
 
+    /// Takes in another capacity; the window keeps its place between the new bounds.
+    pub fn resize(&mut self, capacity: Capacity) {
+        self.capacity = capacity;
+        let least = capacity.cold.requests;
+        self.requests = self.requests.clamp(least, capacity.warm.requests.max(least));
+    }
+
     /// Load allowed now, on the part `share` of the fleet.
     pub fn limit(&self, share: Share) -> Load {
         let Capacity { cold, warm } = self.capacity;
--- a/chestnutstage_core/tests/cold_start.rs
+++ b/chestnutstage_core/tests/cold_start.rs
@@ -9,7 +9,7 @@
 use chestnutstage_core::length::Tokens;
 use chestnutstage_core::owner::{Action, Cause, End, Limits, Owner};
 use chestnutstage_core::time::Time;
-use chestnutstage_core::window::{Load, Share};
+use chestnutstage_core::window::{Capacity, Load, Share};
 use common::{ask, at, capacity, engine, grants, report, ticket};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -109,6 +109,27 @@
     );
 }
 
+#[test]
+fn changed_capacity() {
+    let mut owner = owner(at(0), false);
+    warm(&mut owner);
+    let mut narrowed = engine("e1");
+    let load = Load {
+        requests: 1,
+        tokens: Tokens(4_000),
+    };
+    narrowed.capacity = Capacity {
+        cold: load,
+        warm: load,
+    };
+    owner.adopt(at(100), narrowed, true);
+    assert_eq!(
+        owner.load(&"e1".into()).unwrap().1,
+        load,
+        "an exception holds for an endpoint that is owned already"
+    );
+}
+
 #[test]
 fn two_owners() {
     // While views differ, each side scales the window by the part of the roster that it sees.
