--- a/chestnutstage_fakes/src/lib.rs
+++ b/chestnutstage_fakes/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod engine;
 pub mod load;
 pub mod platform;
+pub mod probe;
 pub mod service;
 pub mod world;
--- a/chestnutstage_fakes/src/main.rs
+++ b/chestnutstage_fakes/src/main.rs
@@ -8,6 +8,7 @@
 use chestnutstage_fakes::demo;
 use chestnutstage_fakes::endpoint::EndpointFake;
 use chestnutstage_fakes::platform::PlatformFake;
+use chestnutstage_fakes::probe;
 use chestnutstage_fakes::service::ServiceFake;
 use chestnutstage_fakes::world::{Plan, World};
 use clap::{Parser, Subcommand};
@@ -33,6 +34,9 @@
         /// Model engines.
         #[arg(long, default_value_t = 20)]
         engines: usize,
+        /// Let engines take very many requests at once, cold or warm.
+        #[arg(long)]
+        roomy: bool,
         /// First port.
         #[arg(long, default_value_t = 18_000)]
         port: u16,
@@ -57,6 +61,24 @@
         #[arg(long)]
         world: PathBuf,
     },
+    /// Compare the first token by way of an instance with that of an engine asked directly.
+    Overhead {
+        /// Folder of the deployment.
+        #[arg(long)]
+        world: PathBuf,
+    },
+    /// Open many streams at the first instance and read its memory.
+    Streams {
+        /// Folder of the deployment.
+        #[arg(long)]
+        world: PathBuf,
+        /// Process of the first instance.
+        #[arg(long)]
+        pid: u32,
+        /// Streams to open.
+        #[arg(long, default_value_t = 1_200)]
+        count: usize,
+    },
     /// Drive the demo's load and check what it must show.
     Demo {
         /// Folder of the deployment.
@@ -88,15 +110,19 @@
             port,
         } => {
             let zones = ["a", "b", "c"].map(str::to_owned).to_vec();
-            World::new(&Plan {
+            let plan = Plan {
                 zones,
                 instances,
                 engines,
                 services: 3,
                 customers: 10,
                 port,
-            })
-            .save(&out)
+            };
+            let mut world = World::new(&plan);
+            if roomy {
+                world.widen();
+            }
+            world.save(&out)
         }
         Command::Platform { world } => {
             let world = World::load(&world)?;
@@ -106,6 +132,8 @@
         }
         Command::Zone { world, zone } => run_zone(&World::load(&world)?, &zone).await,
         Command::Seed { world } => demo::seed(&World::load(&world)?).await,
+        Command::Overhead { world } => probe::overhead(&World::load(&world)?).await,
+        Command::Streams { world, pid, count } => probe::streams(&World::load(&world)?, pid, count).await,
         Command::Demo { world, signals } => demo::run(World::load(&world)?, signals).await,
     }
 }
--- a/chestnutstage_fakes/src/world.rs
+++ b/chestnutstage_fakes/src/world.rs
@@ -181,6 +181,25 @@
         }
     }
 
+    /// Lets engines take very many requests at once, for measurements of the instances alone.
+    pub fn widen(&mut self) {
+        let load = Load {
+            requests: 400,
+            tokens: Tokens(10_000_000),
+        };
+        for engine in self
+            .listing
+            .endpoints
+            .iter_mut()
+            .filter(|e| e.kind == Kind::Engine)
+        {
+            engine.capacity = Capacity {
+                cold: load,
+                warm: load,
+            };
+        }
+    }
+
     /// Reads a deployment from its folder.
     ///
     /// # Errors
