--- a/chestnutstage/tests/common/mod.rs
+++ b/chestnutstage/tests/common/mod.rs
@@ -153,6 +153,35 @@
         self.instances.push(instance);
     }
 
+    /// Starts an instance as a process of its own, and lists it; gives the process and its base URL.
+    pub fn spawn(&mut self, id: &str, zone: &str) -> (std::process::Child, String) {
+        Authority::load(&self.folder).sign(&self.folder, id);
+        let mut settings = settings(&self.folder, id, zone, &self.platform.url(), &self.listing);
+        settings.instance.listen = free_tcp();
+        settings.instance.peer = free_udp();
+        let path = self.folder.join(format!("{id}.toml"));
+        let text = std::fs::read_to_string(&path).unwrap();
+        let text = text.replacen("127.0.0.1:0", &settings.instance.listen.to_string(), 1);
+        let text = text.replacen("127.0.0.1:0", &settings.instance.peer.to_string(), 1);
+        std::fs::write(&path, text).unwrap();
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_chestnutstage"));
+        let child = command
+            .arg("--settings")
+            .arg(&path)
+            .env("CHESTNUTSTAGE_LOG", "off")
+            .spawn()
+            .unwrap();
+        let peer = settings.instance.peer;
+        self.listing.instances.push(Listed {
+            id: id.into(),
+            peer,
+            zone: zone.into(),
+            leaving: false,
+        });
+        self.platform.list(self.listing.clone());
+        (child, format!("http://{}", settings.instance.listen))
+    }
+
     /// Takes an instance off the platform's list.
     pub fn unlist(&mut self, id: &str) {
         self.listing.instances.retain(|i| i.id != id);
@@ -288,6 +317,20 @@
     }
 }
 
+fn free_tcp() -> std::net::SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+fn free_udp() -> std::net::SocketAddr {
+    std::net::UdpSocket::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
 /// Body of an error.
 pub async fn error(response: Response) -> Value {
     response.json::<Value>().await.unwrap()["error"].clone()
--- a/chestnutstage/tests/instances_leave.rs
+++ b/chestnutstage/tests/instances_leave.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
 use chestnutstage_fakes::platform::Fault as StoreFault;
 use common::{Deployment, NORTH, until};
 
@@ -32,6 +35,83 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn rolling_restart() {
+    let mut deployment = Deployment::start(7, 6).await;
+    // What the platform's balancer has in rotation; it takes an instance out while that still serves.
+    let rotation: Arc<Mutex<Vec<String>>> = Arc::default();
+    let urls = |d: &Deployment| {
+        (0..d.instances.len())
+            .map(|i| d.url(i, "v1/chat/completions"))
+            .collect::<Vec<_>>()
+    };
+    *rotation.lock().unwrap() = urls(&deployment);
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..12)
+        .map(|n| {
+            tokio::spawn(keep_asking(
+                deployment.client.clone(),
+                rotation.clone(),
+                stop.clone(),
+                n,
+            ))
+        })
+        .collect();
+    for number in 1..=7 {
+        let leaving = deployment.instances.remove(0);
+        rotation.lock().unwrap().remove(0);
+        leaving.shutdown().await;
+        let id = format!("i{number}");
+        deployment.unlist(&id);
+        deployment.join(&id, ["a", "b", "c"][(number - 1) % 3]).await;
+        deployment.ready().await;
+        *rotation.lock().unwrap() = urls(&deployment);
+    }
+    stop.store(true, Ordering::Relaxed);
+    let mut whole = 0;
+    for caller in callers {
+        let (answers, cut) = caller.await.unwrap();
+        assert_eq!(cut, Vec::<String>::new());
+        whole += answers;
+    }
+    assert!(whole > 0);
+}
+
+/// Asks again and again through the balancer; counts whole answers and gathers the others.
+async fn keep_asking(
+    client: reqwest::Client,
+    rotation: Arc<Mutex<Vec<String>>>,
+    stop: Arc<AtomicBool>,
+    n: usize,
+) -> (usize, Vec<String>) {
+    let (mut whole, mut cut) = (0, Vec::new());
+    let body = serde_json::json!({
+        "model": chestnutstage_fakes::world::MODEL,
+        "max_tokens": 20,
+        "stream": true,
+        "messages": [{"role": "user", "content": "through a rolling restart"}],
+    });
+    for turn in n.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let url = {
+            let urls = rotation.lock().unwrap();
+            urls[turn % urls.len()].clone()
+        };
+        let answer = client.post(url).bearer_auth(common::KEY).json(&body).send().await;
+        match answer {
+            Ok(answer) => match answer.text().await {
+                Ok(text) if text.contains("[DONE]") => whole += 1,
+                Ok(text) => cut.push(text),
+                Err(e) => cut.push(e.to_string()),
+            },
+            Err(e) => cut.push(e.to_string()),
+        }
+    }
+    (whole, cut)
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_owner() {
     let mut deployment = Deployment::start(3, 1).await;
