Windows of idle warm endpoints open faster; waiting requests look at other owners by chance

Prompts over 16,000 tokens fit no window at cold capacity; at low load windows opened by one request per report of 2 s, over a minute, and the look elsewhere always met the same owner. Ruled out: the flips themselves (short prompts kept 205 ms). Change: a report of a warm endpoint opens its window by half (20 s from cold to warm); the look elsewhere picks one at random. Tests: idle_endpoint; and, as mutants had survived, answer_from_new_life and unused_former_grant.

--- a/chestnutstage/src/entry.rs
+++ b/chestnutstage/src/entry.rs
@@ -10,6 +10,7 @@
 use chestnutstage_core::outcome::Refusal;
 use chestnutstage_core::owner::{Ask, Cause, GRANT_LIFE, Summary};
 use chestnutstage_core::time::Time;
+use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
@@ -222,9 +223,11 @@
     ) -> Option<Box<Seat>> {
         let now = self.shared.clock.now();
         let candidates = lock(&self.shared.router).candidates(now, &job.model, job.size.class(), job.prefix);
-        let owner = candidates.into_iter().find(|c| c != queued)?;
+        let others: Vec<_> = candidates.into_iter().filter(|c| c != queued).collect();
+        let chosen = lock(&self.shared.rng).random_range(0..others.len().max(1));
+        let owner = others.get(chosen)?;
         let ticket = next_ticket(job, attempt);
-        match self.ask(job, ticket, avoid, &owner, false).await {
+        match self.ask(job, ticket, avoid, owner, false).await {
             Asked::Seat(seat) => Some(seat),
             _ => None,
         }
--- a/chestnutstage_core/src/window.rs
+++ b/chestnutstage_core/src/window.rs
@@ -163,9 +163,12 @@
         Pace::Normal
     }
 
-    /// Takes in the endpoint's own word that it is warm, which counts as much as one completion.
+    /// Takes in the endpoint's own word that it is warm.
+    ///
+    /// An idle endpoint completes nothing by which its window could grow, so each such report opens it by half.
     pub fn vouched(&mut self) {
-        self.requests = (self.requests + 1).min(self.capacity.warm.requests);
+        let more = (self.requests / 2).max(1);
+        self.requests = (self.requests + more).min(self.capacity.warm.requests);
     }
 
     /// Multiple of the estimate beyond which silence counts as a cold start.
--- a/chestnutstage_core/tests/cold_start.rs
+++ b/chestnutstage_core/tests/cold_start.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use chestnutstage_core::ids::{EndpointId, Ticket};
+use chestnutstage_core::ids::{BootId, EndpointId, Ticket};
 use chestnutstage_core::length::Tokens;
 use chestnutstage_core::owner::{Action, Cause, End, Limits, Owner};
 use chestnutstage_core::time::Time;
@@ -63,6 +63,46 @@
     assert_eq!(owner.load(&"e1".into()).unwrap().0.requests, 2);
 }
 
+#[test]
+fn answer_from_new_life() {
+    let mut owner = owner(at(0), false);
+    warm(&mut owner);
+    for n in 0..6 {
+        owner.ask(at(100), ask(n, 1_000), at(60_000));
+    }
+    let actions = owner.answered_by(at(200), &"e1".into(), BootId(2));
+    assert!(actions.contains(&Action::Reset {
+        endpoint: "e1".into(),
+        cause: Cause::Rebooted
+    }));
+    assert_eq!(
+        owner.load(&"e1".into()).unwrap(),
+        (load_of(2), capacity().cold),
+        "closed before any report"
+    );
+}
+
+/// Load of `count` short requests that have not started.
+fn load_of(count: u32) -> Load {
+    Load {
+        requests: count,
+        tokens: Tokens(u64::from(count) * 1_000),
+    }
+}
+
+#[test]
+fn idle_endpoint() {
+    let mut owner = owner(at(0), false);
+    for report_number in 0..10 {
+        owner.report(at(report_number * 2_000), &"e1".into(), report(1, false, 0));
+    }
+    assert_eq!(
+        owner.load(&"e1".into()).unwrap().1,
+        capacity().warm,
+        "its own word opens it within 20 s"
+    );
+}
+
 #[test]
 fn cold_word() {
     let mut owner = owner(at(0), false);
@@ -109,6 +149,18 @@
     );
 }
 
+#[test]
+fn unused_former_grant() {
+    let mut owner = owner(at(0), true);
+    owner.report(at(10), &"e1".into(), report(1, false, 0));
+    let early = owner.ask(at(20), ask(1, 1_000), at(60_000));
+    assert!(
+        grants(&early).is_empty(),
+        "a grant of the former owner may still be used"
+    );
+    assert_eq!(grants(&owner.tick(at(1_001))).len(), 1);
+}
+
 #[test]
 fn changed_capacity() {
     let mut owner = owner(at(0), false);
