Members look through the roster only when something is due

Cause: the capacity bench spent its time in bury: each tick of each member went through all members, 20 times a second. Ruled out: news and encoding (not on the stack samples). Change: the view keeps the time at which the next condition ends. Also tests of the command line.

--- a/chestnutstage/tests/common/mod.rs
+++ b/chestnutstage/tests/common/mod.rs
@@ -164,7 +164,7 @@
         let text = text.replacen("127.0.0.1:0", &settings.instance.listen.to_string(), 1);
         let text = text.replacen("127.0.0.1:0", &settings.instance.peer.to_string(), 1);
         std::fs::write(&path, text).unwrap();
-        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_chestnutstage"));
+        let mut command = std::process::Command::new(option_env!("CARGO_BIN_EXE_chestnutstage").unwrap());
         let child = command
             .arg("--settings")
             .arg(&path)
--- a/chestnutstage_core/src/members.rs
+++ b/chestnutstage_core/src/members.rs
@@ -135,6 +135,17 @@
     since: Time,
 }
 
+impl Entry {
+    /// When its condition ends by itself, if it does.
+    fn due(&self) -> Option<Time> {
+        match self.member.health {
+            Health::Suspect => Some(self.since + SUSPICION),
+            Health::Dead | Health::Left => Some(self.since + GRAVE),
+            Health::Alive | Health::Leaving => None,
+        }
+    }
+}
+
 /// One instance's view of the members.
 #[derive(Debug)]
 pub struct Members {
@@ -145,6 +156,8 @@
     watched: Vec<InstanceId>,
     next_probe: Time,
     turn: usize,
+    /// When some member's condition ends by itself.
+    due: Option<Time>,
 }
 
 impl Members {
@@ -159,6 +172,7 @@
             watched: Vec::new(),
             next_probe: now,
             turn: 0,
+            due: None,
         };
         members.entries.insert(
             id,
@@ -294,6 +308,7 @@
         };
         entry.since = now;
         let health = entry.member.health;
+        self.due = earlier(self.due, entry.due());
         self.announce(peer);
         self.rewatch();
         vec![Action::Changed {
@@ -366,7 +381,9 @@
             return;
         }
         let (peer, health) = (member.id.clone(), member.health);
-        self.entries.insert(peer.clone(), Entry { member, since: now });
+        let entry = Entry { member, since: now };
+        self.due = earlier(self.due, entry.due());
+        self.entries.insert(peer.clone(), entry);
         self.announce(&peer);
         actions.push(Action::Changed { peer, health });
     }
@@ -399,6 +416,9 @@
     }
 
     fn bury(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.due.is_none_or(|due| now < due) {
+            return;
+        }
         let mut dead = Vec::new();
         for (id, entry) in &mut self.entries {
             if entry.member.health == Health::Suspect && now.since(entry.since) >= SUSPICION {
@@ -418,6 +438,7 @@
         self.entries.retain(|_, e| {
             !matches!(e.member.health, Health::Dead | Health::Left) || now.since(e.since) < GRAVE
         });
+        self.due = self.entries.values().filter_map(Entry::due).min();
         if !dead.is_empty() || self.entries.len() != before {
             self.rewatch();
         }
@@ -438,3 +459,8 @@
         self.watched = watched;
     }
 }
+
+/// The earlier of two times that may not be set.
+fn earlier(a: Option<Time>, b: Option<Time>) -> Option<Time> {
+    a.into_iter().chain(b).min()
+}
