--- a/chestnutstage_config/src/settings.rs
+++ b/chestnutstage_config/src/settings.rs
@@ -105,11 +105,7 @@
 
 impl Default for Callers {
     fn default() -> Self {
-        Self {
-            body: ByteSize::mib(16),
-            call: ByteSize::mib(1),
-            backlog: 64,
-        }
+        Self { body: ByteSize::mib(16), call: ByteSize::mib(1), backlog: 64 }
     }
 }
 
@@ -198,16 +194,10 @@
     /// [`LoadError`] with the place and what is wrong there.
     pub fn load(path: &Path) -> Result<Self, LoadError> {
         let mut settings: Self = load::load(path)?;
-        settings.check().map_err(|message| LoadError::Check {
-            path: path.to_owned(),
-            message,
-        })?;
+        settings.check().map_err(|message| LoadError::Check { path: path.to_owned(), message })?;
         let base = path.parent().unwrap_or(Path::new("."));
-        for file in [
-            &mut settings.fleet.authority,
-            &mut settings.fleet.certificate,
-            &mut settings.fleet.key,
-        ] {
+        for file in [&mut settings.fleet.authority, &mut settings.fleet.certificate, &mut settings.fleet.key]
+        {
             *file = base.join(&*file);
         }
         Ok(settings)
@@ -225,22 +215,13 @@
         if self.instance.listen == self.instance.peer && self.instance.peer.port() != 0 {
             return Err("instance.listen and instance.peer are the same address".into());
         }
-        if self
-            .fleet
-            .seeds
-            .iter()
-            .any(|s| s.id == self.instance.id && s.peer != self.instance.peer)
-        {
+        if self.fleet.seeds.iter().any(|s| s.id == self.instance.id && s.peer != self.instance.peer) {
             return Err("fleet.seeds gives another address for this instance".into());
         }
         if self.callers.backlog == 0 {
             return Err("callers.backlog must be at least 1".into());
         }
-        for url in [
-            &self.platform.tables,
-            &self.platform.objects,
-            &self.platform.instances,
-        ] {
+        for url in [&self.platform.tables, &self.platform.objects, &self.platform.instances] {
             if !url.starts_with("http://") && !url.starts_with("https://") {
                 return Err(format!("platform: `{url}` is not an http or https URL"));
             }
--- a/chestnutstage_config/tests/examples.rs
+++ b/chestnutstage_config/tests/examples.rs
@@ -7,9 +7,7 @@
 use chestnutstage_config::settings::Settings;
 
 fn path(name: &str) -> PathBuf {
-    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
-        .join("../examples")
-        .join(name)
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../examples").join(name)
 }
 
 #[test]
@@ -18,10 +16,7 @@
         let settings = Settings::load(&path(name)).unwrap();
         assert_eq!(settings.operators.len(), 2);
         let shown = format!("{settings:?}");
-        assert!(
-            !shown.contains("PLATFORM_TOKEN"),
-            "secrets are not shown: {shown}"
-        );
+        assert!(!shown.contains("PLATFORM_TOKEN"), "secrets are not shown: {shown}");
     }
 }
 
--- a/chestnutstage_core/benches/decisions.rs
+++ b/chestnutstage_core/benches/decisions.rs
@@ -33,9 +33,8 @@
 
 fn router(count: usize) -> Router {
     let mut router = Router::new("a".into(), 1);
-    let peers: Vec<(InstanceId, ZoneId)> = (0..count)
-        .map(|i| (format!("i{i}").as_str().into(), ["a", "b", "c"][i % 3].into()))
-        .collect();
+    let peers: Vec<(InstanceId, ZoneId)> =
+        (0..count).map(|i| (format!("i{i}").as_str().into(), ["a", "b", "c"][i % 3].into())).collect();
     let models = ModelSet::of([&model()]);
     let views = peers.iter().map(|(id, zone)| Peer { id, zone, models });
     router.set_peers(views, &BTreeSet::from([model()]));
@@ -44,17 +43,11 @@
 
 fn ask(n: u64) -> Ask {
     Ask {
-        ticket: Ticket {
-            request: RequestId(u128::from(n) << 16),
-            attempt: 0,
-        },
+        ticket: Ticket { request: RequestId(u128::from(n) << 16), attempt: 0 },
         customer: format!("c{}", n % 100).as_str().into(),
         weight: 1,
         model: model(),
-        size: Size {
-            prompt: Tokens(1_000 + n % 5_000),
-            output: Tokens(50),
-        },
+        size: Size { prompt: Tokens(1_000 + n % 5_000), output: Tokens(50) },
         prefix: Some(n % 50),
         patient: true,
         avoid: Vec::new(),
@@ -63,10 +56,7 @@
 
 fn owner(endpoints: usize, queued: u64) -> Owner {
     let mut owner = Owner::new(Limits::default());
-    let load = Load {
-        requests: 4,
-        tokens: Tokens(100_000),
-    };
+    let load = Load { requests: 4, tokens: Tokens(100_000) };
     for i in 0..endpoints {
         let id = format!("e{i}");
         owner.adopt(
@@ -77,26 +67,15 @@
                 address: String::new(),
                 kind: Kind::Engine,
                 models: vec![model()],
-                capacity: Capacity {
-                    cold: load,
-                    warm: load,
-                },
-                speed: Speed {
-                    prefill: 60_000,
-                    step: 20_000,
-                },
+                capacity: Capacity { cold: load, warm: load },
+                speed: Speed { prefill: 60_000, step: 20_000 },
                 memory: Tokens(450_000),
                 fenced: true,
                 leaving: false,
             },
             false,
         );
-        let report = Report {
-            boot: BootId(1),
-            cold: false,
-            running: 0,
-            held: Tokens(0),
-        };
+        let report = Report { boot: BootId(1), cold: false, running: 0, held: Tokens(0) };
         owner.report(Time::ZERO, &id.as_str().into(), report);
     }
     for n in 0..queued {
@@ -154,10 +133,7 @@
 
 fn check(what: &str, took: Duration, bound: Duration) -> bool {
     let holds = took <= bound;
-    println!(
-        "{} {what}: median {took:?}, bound {bound:?}",
-        if holds { "ok  " } else { "FAIL" }
-    );
+    println!("{} {what}: median {took:?}, bound {bound:?}", if holds { "ok  " } else { "FAIL" });
     holds
 }
 
@@ -176,11 +152,7 @@
     }
     let admitted = admitted / REPEATS as u32;
     let first = check(&format!("routing among {ROUTED} candidates"), choice, ROUTE_BOUND);
-    let second = check(
-        &format!("admission before {QUEUED} waiting requests (mean)"),
-        admitted,
-        ADMIT_BOUND,
-    );
+    let second = check(&format!("admission before {QUEUED} waiting requests (mean)"), admitted, ADMIT_BOUND);
     first && second
 }
 
--- a/chestnutstage_core/src/affinity.rs
+++ b/chestnutstage_core/src/affinity.rs
@@ -63,10 +63,7 @@
         };
         // A miss shows eviction between the requests; the prefix is cached again by now, but will not last longer.
         if cached.0 > 0 {
-            *hint = Hint {
-                tokens: cached,
-                at: now,
-            };
+            *hint = Hint { tokens: cached, at: now };
         }
     }
 
@@ -80,8 +77,7 @@
         if self.hints.len() >= HINTS_MAX {
             self.make_room();
         }
-        self.hints
-            .insert((endpoint.clone(), prefix), Hint { tokens, at: now });
+        self.hints.insert((endpoint.clone(), prefix), Hint { tokens, at: now });
     }
 
     /// Forgets all about an endpoint that restarted.
--- a/chestnutstage_core/src/budget.rs
+++ b/chestnutstage_core/src/budget.rs
@@ -26,10 +26,7 @@
 impl RetryBudget {
     /// A full budget; `seed` makes the jitter repeatable.
     pub fn new(seed: u64) -> Self {
-        Self {
-            saved: SAVED_MAX,
-            rng: SmallRng::seed_from_u64(seed),
-        }
+        Self { saved: SAVED_MAX, rng: SmallRng::seed_from_u64(seed) }
     }
 
     /// Takes in a first attempt.
--- a/chestnutstage_core/src/chain.rs
+++ b/chestnutstage_core/src/chain.rs
@@ -30,15 +30,9 @@
     for _ in 1..count {
         let prompt = share.min(left);
         left -= prompt;
-        segments.push(Size {
-            prompt: Tokens(prompt),
-            output: Tokens(0),
-        });
+        segments.push(Size { prompt: Tokens(prompt), output: Tokens(0) });
     }
-    segments.push(Size {
-        prompt: Tokens(left),
-        output: size.output,
-    });
+    segments.push(Size { prompt: Tokens(left), output: size.output });
     Some(segments)
 }
 
@@ -98,10 +92,7 @@
 impl Chain {
     /// A run of `segments` segments.
     pub fn new(segments: usize) -> Self {
-        Self {
-            states: vec![State::Wanted; segments.max(1)],
-            redone: 0,
-        }
+        Self { states: vec![State::Wanted; segments.max(1)], redone: 0 }
     }
 
     /// The next step.
--- a/chestnutstage_core/src/contract.rs
+++ b/chestnutstage_core/src/contract.rs
@@ -34,11 +34,7 @@
 
 impl Default for Contract {
     fn default() -> Self {
-        Self {
-            rate: 200_000,
-            weight: 1,
-            deadline: 120_000,
-        }
+        Self { rate: 200_000, weight: 1, deadline: 120_000 }
     }
 }
 
@@ -59,19 +55,12 @@
 
 impl Bucket {
     fn new(now: Time, rate: f64) -> Self {
-        Self {
-            level: rate * BURST.as_secs_f64(),
-            rate,
-            at: now,
-        }
+        Self { level: rate * BURST.as_secs_f64(), rate, at: now }
     }
 
     /// The local bucket of one of `instances` instances.
     pub fn local(now: Time, contract: &Contract, instances: u32) -> Self {
-        Self::new(
-            now,
-            contract.rate as f64 * LOCAL_PART / f64::from(instances.max(1)),
-        )
+        Self::new(now, contract.rate as f64 * LOCAL_PART / f64::from(instances.max(1)))
     }
 
     /// The bucket at the customer's home.
@@ -101,21 +90,14 @@
         let missing = cost.as_f64() - self.level;
         let piece = contract.rate as f64 * PIECE.as_secs_f64();
         let retry = Duration::from_secs_f64((missing / (contract.rate as f64).max(1.0)).clamp(1.0, 30.0));
-        Err(Short {
-            borrow: Tokens(missing.max(piece) as u64),
-            retry,
-        })
+        Err(Short { borrow: Tokens(missing.max(piece) as u64), retry })
     }
 
     /// Lends up to `wanted`.
     pub fn lend(&mut self, now: Time, wanted: Tokens) -> Tokens {
         self.refill(now);
         let full = self.level >= self.rate * BURST.as_secs_f64() * 0.99;
-        let granted = if full {
-            wanted.as_f64()
-        } else {
-            self.level.clamp(0.0, wanted.as_f64())
-        };
+        let granted = if full { wanted.as_f64() } else { self.level.clamp(0.0, wanted.as_f64()) };
         self.level -= granted;
         Tokens(granted as u64)
     }
--- a/chestnutstage_core/src/explain.rs
+++ b/chestnutstage_core/src/explain.rs
@@ -73,10 +73,7 @@
 impl Ring {
     /// A ring of `size` records.
     pub fn new(size: usize) -> Self {
-        Self {
-            records: VecDeque::with_capacity(size),
-            size,
-        }
+        Self { records: VecDeque::with_capacity(size), size }
     }
 
     /// Adds a decision; the oldest gives way.
@@ -84,11 +81,7 @@
         if self.records.len() == self.size {
             self.records.pop_front();
         }
-        self.records.push_back(Record {
-            at: now.as_millis(),
-            request,
-            decision,
-        });
+        self.records.push_back(Record { at: now.as_millis(), request, decision });
     }
 
     /// Decisions about `request`, oldest first.
--- a/chestnutstage_core/src/holding.rs
+++ b/chestnutstage_core/src/holding.rs
@@ -52,11 +52,7 @@
         let segment = parts.next()?.parse().ok()?;
         let request = RequestId(u128::from_str_radix(parts.next()?, 16).ok()?);
         let holder = parts.next().filter(|h| !h.is_empty())?.into();
-        Some(Self {
-            holder,
-            request,
-            segment,
-        })
+        Some(Self { holder, request, segment })
     }
 
     /// What must happen to the reservation of this name at `age`, if it was made for `ttl`.
--- a/chestnutstage_core/src/inforce.rs
+++ b/chestnutstage_core/src/inforce.rs
@@ -102,10 +102,7 @@
     /// Assurance to hand on at `now`.
     pub fn fresh(&self, now: Time) -> Option<Fresh> {
         let at = self.assured?;
-        Some(Fresh {
-            version: self.newest,
-            age: now.since(at),
-        })
+        Some(Fresh { version: self.newest, age: now.since(at) })
     }
 
     /// Whether new work may be taken at `now`.
@@ -148,11 +145,7 @@
 impl Acceptance {
     /// Waits for `members` to acknowledge `version`, committed at `now`.
     pub fn new(now: Time, version: Version, members: impl IntoIterator<Item = InstanceId>) -> Self {
-        Self {
-            version,
-            waiting: members.into_iter().map(|m| (m, now)).collect(),
-            acked: 0,
-        }
+        Self { version, waiting: members.into_iter().map(|m| (m, now)).collect(), acked: 0 }
     }
 
     /// The version waited for.
@@ -182,9 +175,7 @@
         if self.waiting.is_empty() || (most && self.waiting.values().all(isolated)) {
             return Progress::InForce;
         }
-        Progress::Committed {
-            missing: self.waiting.keys().cloned().collect(),
-        }
+        Progress::Committed { missing: self.waiting.keys().cloned().collect() }
     }
 }
 
--- a/chestnutstage_core/src/members.rs
+++ b/chestnutstage_core/src/members.rs
@@ -174,13 +174,7 @@
             turn: 0,
             due: None,
         };
-        members.entries.insert(
-            id,
-            Entry {
-                member: me,
-                since: now,
-            },
-        );
+        members.entries.insert(id, Entry { member: me, since: now });
         members.announce(&members.me.clone());
         members
     }
@@ -197,14 +191,12 @@
 
     /// Members that may own endpoints: alive or under suspicion.
     pub fn owners(&self) -> impl Iterator<Item = &Member> {
-        self.all()
-            .filter(|m| matches!(m.health, Health::Alive | Health::Suspect))
+        self.all().filter(|m| matches!(m.health, Health::Alive | Health::Suspect))
     }
 
     /// Members that configuration must reach: all that may take work.
     pub fn active(&self) -> impl Iterator<Item = &Member> {
-        self.all()
-            .filter(|m| matches!(m.health, Health::Alive | Health::Suspect | Health::Leaving))
+        self.all().filter(|m| matches!(m.health, Health::Alive | Health::Suspect | Health::Leaving))
     }
 
     /// Part of the roster that is alive here.
@@ -224,10 +216,7 @@
             .iter()
             .filter(|(id, e)| e.member.health == Health::Suspect && !self.listed.contains_key(*id))
             .count() as u32;
-        Share {
-            seen,
-            roster: seen + gone + unlisted,
-        }
+        Share { seen, roster: seen + gone + unlisted }
     }
 
     /// Takes in the platform's list of live instances, which lags; gives those to probe that are not known yet.
@@ -238,10 +227,7 @@
         strangers
             .into_iter()
             .take(RINGS as usize)
-            .map(|peer| Action::Probe {
-                address: self.listed[&peer],
-                peer,
-            })
+            .map(|peer| Action::Probe { address: self.listed[&peer], peer })
             .collect()
     }
 
@@ -272,10 +258,7 @@
         self.turn = (self.turn + 1) % self.watched.len();
         let peer = self.watched[self.turn].clone();
         if let Some(entry) = self.entries.get(&peer) {
-            actions.push(Action::Probe {
-                address: entry.member.address,
-                peer,
-            });
+            actions.push(Action::Probe { address: entry.member.address, peer });
         }
         actions
     }
@@ -301,29 +284,19 @@
             return Vec::new();
         }
         let was = entry.member.health;
-        entry.member.health = if was == Health::Leaving {
-            Health::Left
-        } else {
-            Health::Suspect
-        };
+        entry.member.health = if was == Health::Leaving { Health::Left } else { Health::Suspect };
         entry.since = now;
         let health = entry.member.health;
         self.due = earlier(self.due, entry.due());
         self.announce(peer);
         self.rewatch();
-        vec![Action::Changed {
-            peer: peer.clone(),
-            health,
-        }]
+        vec![Action::Changed { peer: peer.clone(), health }]
     }
 
     /// News to put on a message; counts as sent.
     pub fn news(&mut self) -> Vec<Member> {
-        let mut fresh: Vec<_> = self
-            .news
-            .iter()
-            .map(|(id, left)| (std::cmp::Reverse(*left), id.clone()))
-            .collect();
+        let mut fresh: Vec<_> =
+            self.news.iter().map(|(id, left)| (std::cmp::Reverse(*left), id.clone())).collect();
         fresh.sort_unstable();
         let mut out = Vec::new();
         for (_, id) in fresh.into_iter().take(NEWS_MAX) {
@@ -429,10 +402,7 @@
         }
         for peer in &dead {
             self.announce(peer);
-            actions.push(Action::Changed {
-                peer: peer.clone(),
-                health: Health::Dead,
-            });
+            actions.push(Action::Changed { peer: peer.clone(), health: Health::Dead });
         }
         let before = self.entries.len();
         self.entries.retain(|_, e| {
@@ -451,9 +421,7 @@
             let place = |id: &InstanceId| xxh3_64_with_seed(id.as_str().as_bytes(), ring);
             let mine = place(&self.me);
             let others = self.active().filter(|m| m.id != self.me);
-            let next = others
-                .min_by_key(|m| place(&m.id).wrapping_sub(mine))
-                .map(|m| m.id.clone());
+            let next = others.min_by_key(|m| place(&m.id).wrapping_sub(mine)).map(|m| m.id.clone());
             watched.extend(next.filter(|id| !watched.contains(id)));
         }
         self.watched = watched;
--- a/chestnutstage_core/src/mix.rs
+++ b/chestnutstage_core/src/mix.rs
@@ -26,11 +26,7 @@
     /// Takes in one request.
     pub fn observe(&mut self, size: Size) {
         let tokens = size.prompt.as_f64();
-        let (brief, long) = if size.class() == Class::Long {
-            (0.0, tokens)
-        } else {
-            (tokens, 0.0)
-        };
+        let (brief, long) = if size.class() == Class::Long { (0.0, tokens) } else { (tokens, 0.0) };
         self.brief += (brief - self.brief) * SAMPLE_WEIGHT;
         self.long += (long - self.long) * SAMPLE_WEIGHT;
     }
--- a/chestnutstage_core/src/once.rs
+++ b/chestnutstage_core/src/once.rs
@@ -130,16 +130,7 @@
 impl Attempt {
     /// An attempt that may send until `until`; `nonce` must be unique.
     pub const fn new(hash: String, nonce: Nonce, until: Time) -> Self {
-        Self {
-            claim: Claim {
-                hash,
-                nonce,
-                status: Status::Claimed,
-            },
-            until,
-            version: 0,
-            sent: false,
-        }
+        Self { claim: Claim { hash, nonce, status: Status::Claimed }, until, version: 0, sent: false }
     }
 
     /// First step.
@@ -157,13 +148,7 @@
             Event::StoreDown | Event::AnswerLost => self.again(now, Step::Read),
             Event::Answered(answer) => {
                 let status = Status::Answered(answer.clone());
-                self.finish(
-                    Verdict::Answer {
-                        answer,
-                        replayed: false,
-                    },
-                    status,
-                )
+                self.finish(Verdict::Answer { answer, replayed: false }, status)
             }
             Event::NotSent => self.finish(Verdict::NotRun, Status::NotRun),
             Event::Broken => self.finish(Verdict::Unknown, Status::Lost),
@@ -191,13 +176,7 @@
             return Step::Finish(Verdict::Conflict, None);
         }
         match row.claim.status {
-            Status::Answered(answer) => Step::Finish(
-                Verdict::Answer {
-                    answer,
-                    replayed: true,
-                },
-                None,
-            ),
+            Status::Answered(answer) => Step::Finish(Verdict::Answer { answer, replayed: true }, None),
             Status::NotRun => self.again(now, Step::Replace(row.version, self.claim.clone())),
             Status::Claimed if row.age < CLAIM_LIFE => Step::Finish(Verdict::InProgress, None),
             Status::Claimed | Status::Lost => Step::Finish(Verdict::Unknown, None),
@@ -213,10 +192,7 @@
     }
 
     fn finish(&self, verdict: Verdict, status: Status) -> Step {
-        let claim = Claim {
-            status,
-            ..self.claim.clone()
-        };
+        let claim = Claim { status, ..self.claim.clone() };
         Step::Finish(verdict, Some((self.version, claim)))
     }
 }
--- a/chestnutstage_core/src/order.rs
+++ b/chestnutstage_core/src/order.rs
@@ -67,11 +67,7 @@
 impl Issuer {
     /// An issuer of `me` for an endpoint that checks fencing numbers if `fenced`.
     pub const fn new(me: InstanceId, fenced: bool) -> Self {
-        Self {
-            me,
-            fenced,
-            state: State::Unknown,
-        }
+        Self { me, fenced, state: State::Unknown }
     }
 
     /// Next step towards an order.
@@ -96,10 +92,7 @@
     pub fn read(&mut self, asked: Time, row: Option<Seen>) -> Step {
         match row {
             None => {
-                let lease = Lease {
-                    holder: self.me.clone(),
-                    fencing: Fencing(1),
-                };
+                let lease = Lease { holder: self.me.clone(), fencing: Fencing(1) };
                 Step::Take(0, lease)
             }
             Some(seen) => {
@@ -129,17 +122,10 @@
     /// order on its way.
     pub fn covers(&self, now: Time, asked: Time) -> bool {
         let used = now.since(asked);
-        if self.fenced {
-            used < LEASE
-        } else {
-            used + ORDER_TIME < LEASE
-        }
+        if self.fenced { used < LEASE } else { used + ORDER_TIME < LEASE }
     }
 
     fn renewed(&self, seen: &Seen) -> Lease {
-        Lease {
-            holder: self.me.clone(),
-            fencing: Fencing(seen.lease.fencing.0 + 1),
-        }
+        Lease { holder: self.me.clone(), fencing: Fencing(seen.lease.fencing.0 + 1) }
     }
 }
--- a/chestnutstage_core/src/owner.rs
+++ b/chestnutstage_core/src/owner.rs
@@ -30,10 +30,7 @@
 /// Longest delay after which a caller is told to come back.
 const RETRY_MAX: Duration = Duration::from_secs(30);
 /// A typical short request.
-const TYPICAL: Size = Size {
-    prompt: Tokens(2_000),
-    output: Tokens(0),
-};
+const TYPICAL: Size = Size { prompt: Tokens(2_000), output: Tokens(0) };
 /// Wait assumed while every window is too small for a request.
 const WINDOW_WAIT: Duration = Duration::from_secs(5);
 /// Time past its deadline after which a request that its entry never ended is taken off the books.
@@ -53,11 +50,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self {
-            long: 1,
-            reserve: 0.2,
-            affinity: 0.5,
-        }
+        Self { long: 1, reserve: 0.2, affinity: 0.5 }
     }
 }
 
@@ -215,8 +208,7 @@
             return;
         }
         let hold = if former { now + GRANT_LIFE } else { now };
-        self.slots
-            .insert(endpoint.id.clone(), Slots::new(endpoint, hold, former));
+        self.slots.insert(endpoint.id.clone(), Slots::new(endpoint, hold, former));
     }
 
     /// Gives up the endpoints that `keep` does not name.
@@ -252,17 +244,12 @@
 
     /// Models that an owned endpoint in service has.
     pub fn models(&self) -> impl Iterator<Item = &ModelId> {
-        self.slots
-            .values()
-            .filter(|s| s.service == Service::In)
-            .flat_map(|s| &s.endpoint.models)
+        self.slots.values().filter(|s| s.service == Service::In).flat_map(|s| &s.endpoint.models)
     }
 
     /// Load granted on `endpoint`, with the load that its window allows.
     pub fn load(&self, endpoint: &EndpointId) -> Option<(Load, Load)> {
-        self.slots
-            .get(endpoint)
-            .map(|s| (s.load(), s.window.limit(self.share)))
+        self.slots.get(endpoint).map(|s| (s.load(), s.window.limit(self.share)))
     }
 
     /// Whether nothing runs or waits here.
@@ -288,33 +275,15 @@
             return vec![Action::Refuse { ticket, refusal }];
         }
         let class = ask.size.class();
-        let overtakes = self
-            .queues
-            .get(&ask.model)
-            .is_none_or(|q| q.len_ahead(class) == 0);
+        let overtakes = self.queues.get(&ask.model).is_none_or(|q| q.len_ahead(class) == 0);
         if overtakes && let Some(endpoint) = self.best(now, &ask) {
-            return vec![self.grant(
-                now,
-                &Waiting {
-                    ask,
-                    deadline,
-                    since: now,
-                },
-                &endpoint,
-            )];
+            return vec![self.grant(now, &Waiting { ask, deadline, since: now }, &endpoint)];
         }
         if !ask.patient {
             let wait = self.busy_wait(&ask);
-            return vec![Action::Refuse {
-                ticket,
-                refusal: Refusal::Busy { wait },
-            }];
+            return vec![Action::Refuse { ticket, refusal: Refusal::Busy { wait } }];
         }
-        self.enqueue(Waiting {
-            ask,
-            deadline,
-            since: now,
-        });
+        self.enqueue(Waiting { ask, deadline, since: now });
         Vec::new()
     }
 
@@ -380,10 +349,7 @@
 
     /// Endpoints that have not shown yet which life they are in.
     pub fn doubtful(&self) -> impl Iterator<Item = &EndpointId> {
-        self.slots
-            .iter()
-            .filter(|(_, s)| !s.is_verified())
-            .map(|(id, _)| id)
+        self.slots.iter().filter(|(_, s)| !s.is_verified()).map(|(id, _)| id)
     }
 
     /// Takes in what an endpoint says of itself.
@@ -455,27 +421,16 @@
 
     /// When the next waiting request passes its deadline.
     pub fn next_expiry(&self) -> Option<Time> {
-        self.queues
-            .values()
-            .filter_map(super::queue::Queue::earliest)
-            .map(|(at, _)| at)
-            .min()
+        self.queues.values().filter_map(super::queue::Queue::earliest).map(|(at, _)| at).min()
     }
 
     /// Room for `model`, as told to entries.
     pub fn summary(&self, model: &ModelId) -> Summary {
         let free = |s: &Slots| self.share_of(s).saturating_sub(s.load().requests);
         let open: Vec<_> = self.serving(model).filter(|s| free(s) > 0).collect();
-        let soonest = open
-            .iter()
-            .map(|s| s.first_token(TYPICAL, Tokens(0)))
-            .min()
-            .unwrap_or_default();
+        let soonest = open.iter().map(|s| s.first_token(TYPICAL, Tokens(0))).min().unwrap_or_default();
         let wait = self.wait(model, Class::Short) + soonest;
-        Summary {
-            free: open.into_iter().map(free).sum(),
-            wait,
-        }
+        Summary { free: open.into_iter().map(free).sum(), wait }
     }
 
     /// Requests that an endpoint may run at a time.
@@ -491,17 +446,11 @@
 
     /// Checks that a request can finish within its deadline.
     fn admit(&self, now: Time, ask: &Ask, deadline: Time) -> Result<(), Refusal> {
-        let fastest = self
-            .serving(&ask.model)
-            .map(|s| s.whole(ask.size, Tokens(0)))
-            .min();
+        let fastest = self.serving(&ask.model).map(|s| s.whole(ask.size, Tokens(0))).min();
         let Some(service) = fastest else {
             return Err(Refusal::NoEndpoint { retry: RETRY_MIN });
         };
-        if self
-            .serving(&ask.model)
-            .all(|s| ask.size.memory() > s.endpoint.memory)
-        {
+        if self.serving(&ask.model).all(|s| ask.size.memory() > s.endpoint.memory) {
             return Err(Refusal::TooLong);
         }
         let wait = self.wait(&ask.model, ask.size.class());
@@ -509,11 +458,7 @@
         let remaining = deadline.since(now);
         if estimate > remaining {
             let retry = (estimate.saturating_sub(remaining)).clamp(RETRY_MIN, RETRY_MAX);
-            return Err(Refusal::Overloaded {
-                estimate,
-                remaining,
-                retry,
-            });
+            return Err(Refusal::Overloaded { estimate, remaining, retry });
         }
         Ok(())
     }
@@ -540,13 +485,8 @@
     /// Expected wait of a request that finds nothing free.
     fn busy_wait(&self, ask: &Ask) -> Duration {
         let wait = self.wait(&ask.model, ask.size.class());
-        let possible = self
-            .serving(&ask.model)
-            .any(|s| s.could_accept(ask.size, self.share));
-        let slots: u32 = self
-            .serving(&ask.model)
-            .map(|s| s.window.limit(self.share).requests)
-            .sum();
+        let possible = self.serving(&ask.model).any(|s| s.could_accept(ask.size, self.share));
+        let slots: u32 = self.serving(&ask.model).map(|s| s.window.limit(self.share).requests).sum();
         let turn = self.usual / slots.max(1);
         if possible { wait + turn } else { wait + WINDOW_WAIT }
     }
@@ -561,15 +501,9 @@
             .filter(|s| s.accepts(now, ask.size, self.share))
             .filter(|s| class != Class::Long || self.accepts_long(s))
             .min_by_key(|s| {
-                let cached = self
-                    .affinity
-                    .hit(now, &s.endpoint.id, ask.prefix)
-                    .min(ask.size.prompt);
-                let worth = s
-                    .endpoint
-                    .speed
-                    .prefill(cached)
-                    .min(Duration::from_secs_f64(self.limits.affinity));
+                let cached = self.affinity.hit(now, &s.endpoint.id, ask.prefix).min(ask.size.prompt);
+                let worth =
+                    s.endpoint.speed.prefill(cached).min(Duration::from_secs_f64(self.limits.affinity));
                 let first = s.first_token(ask.size, Tokens(0)).saturating_sub(worth);
                 (avoided(s), first, s.load().requests, &s.endpoint.id)
             })
@@ -596,17 +530,10 @@
             address.clone_from(&slots.endpoint.address);
             zone = slots.endpoint.zone.clone();
         }
-        self.affinity
-            .sent(now, id, ask.prefix, ask.ticket, ask.size.prompt);
+        self.affinity.sent(now, id, ask.prefix, ask.ticket, ask.size.prompt);
         self.placed.insert(ask.ticket, id.clone());
         let waited = now.since(waiting.since);
-        Action::Grant {
-            ticket: ask.ticket,
-            endpoint: id.clone(),
-            zone,
-            address,
-            waited,
-        }
+        Action::Grant { ticket: ask.ticket, endpoint: id.clone(), zone, address, waited }
     }
 
     fn enqueue(&mut self, waiting: Waiting) {
@@ -631,12 +558,8 @@
 
     /// Grants what the windows allow, in the queue's order.
     fn dispatch(&mut self, now: Time) -> Vec<Action> {
-        let models: Vec<_> = self
-            .queues
-            .iter()
-            .filter(|(_, q)| !q.is_empty())
-            .map(|(m, _)| m.clone())
-            .collect();
+        let models: Vec<_> =
+            self.queues.iter().filter(|(_, q)| !q.is_empty()).map(|(m, _)| m.clone()).collect();
         let mut actions = Vec::new();
         for model in models {
             for class in Class::ALL {
@@ -648,12 +571,7 @@
 
     fn dispatch_class(&mut self, now: Time, model: &ModelId, class: Class, actions: &mut Vec<Action>) {
         loop {
-            let Some(ticket) = self
-                .queues
-                .get(model)
-                .and_then(|q| q.peek(class))
-                .map(|q| q.ticket)
-            else {
+            let Some(ticket) = self.queues.get(model).and_then(|q| q.peek(class)).map(|q| q.ticket) else {
                 return;
             };
             let Some(waiting) = self.waiting.get(&ticket) else {
@@ -687,10 +605,7 @@
             .collect();
         for ticket in late {
             self.withdraw(ticket);
-            actions.push(Action::Refuse {
-                ticket,
-                refusal: Refusal::Expired { retry: RETRY_MIN },
-            });
+            actions.push(Action::Refuse { ticket, refusal: Refusal::Expired { retry: RETRY_MIN } });
         }
     }
 
@@ -699,10 +614,7 @@
             s.endpoint.speed.prefill(waiting.ask.size.prompt)
                 + s.endpoint.speed.decode(waiting.ask.size.output)
         };
-        self.serving(&waiting.ask.model)
-            .map(whole)
-            .min()
-            .unwrap_or_default()
+        self.serving(&waiting.ask.model).map(whole).min().unwrap_or_default()
     }
 
     /// Drops grants whose entry died: past their deadline the endpoint has stopped them.
@@ -726,21 +638,14 @@
 
     /// Calls back what a closed window has no room for.
     fn recall(&mut self, id: &EndpointId, cause: Cause, actions: &mut Vec<Action>) {
-        actions.push(Action::Reset {
-            endpoint: id.clone(),
-            cause,
-        });
+        actions.push(Action::Reset { endpoint: id.clone(), cause });
         let Some(slots) = self.slots.get_mut(id) else {
             return;
         };
         for ticket in slots.excess(self.share) {
             slots.release(ticket);
             self.placed.remove(&ticket);
-            actions.push(Action::Recall {
-                ticket,
-                endpoint: id.clone(),
-                cause,
-            });
+            actions.push(Action::Recall { ticket, endpoint: id.clone(), cause });
         }
     }
 }
--- a/chestnutstage_core/src/rendezvous.rs
+++ b/chestnutstage_core/src/rendezvous.rs
@@ -17,10 +17,7 @@
 where
     I: IntoIterator<Item = (&'a InstanceId, &'a ZoneId)>,
 {
-    instances
-        .into_iter()
-        .max_by_key(|(id, z)| (*z == zone, score(key, id)))
-        .map(|(id, _)| id)
+    instances.into_iter().max_by_key(|(id, z)| (*z == zone, score(key, id))).map(|(id, _)| id)
 }
 
 /// Hash of bytes, the same in every process.
--- a/chestnutstage_core/src/route.rs
+++ b/chestnutstage_core/src/route.rs
@@ -83,11 +83,7 @@
             self.zones.insert(peer.id.clone(), peer.zone.clone());
             for model in models.iter().filter(|m| peer.models.may_hold(m)) {
                 let pool = self.pools.entry(model.clone()).or_default();
-                let side = if *peer.zone == self.zone {
-                    &mut pool.near
-                } else {
-                    &mut pool.far
-                };
+                let side = if *peer.zone == self.zone { &mut pool.near } else { &mut pool.far };
                 side.push(peer.id.clone());
             }
         }
@@ -103,8 +99,7 @@
 
     /// Takes in a summary that came with an answer.
     pub fn learn(&mut self, now: Time, owner: &InstanceId, model: &ModelId, summary: Summary) {
-        self.summaries
-            .insert((owner.clone(), model.clone()), (summary, now));
+        self.summaries.insert((owner.clone(), model.clone()), (summary, now));
     }
 
     /// Passes over an owner that could not be reached.
@@ -139,16 +134,9 @@
                 out.push(id.clone());
             }
         };
-        let home = if pool.near.is_empty() {
-            &pool.far
-        } else {
-            &pool.near
-        };
+        let home = if pool.near.is_empty() { &pool.far } else { &pool.near };
         let key = prefix.filter(|_| class != Class::Long).map(|p| format!("{p:x}"));
-        if let Some(id) = key
-            .as_deref()
-            .and_then(|k| home.iter().max_by_key(|id| rendezvous::score(k, id)))
-        {
+        if let Some(id) = key.as_deref().and_then(|k| home.iter().max_by_key(|id| rendezvous::score(k, id))) {
             add(id);
         }
         for _ in 0..2 {
--- a/chestnutstage_core/src/slots.rs
+++ b/chestnutstage_core/src/slots.rs
@@ -79,11 +79,7 @@
 impl Slots {
     pub(crate) fn new(endpoint: Endpoint, hold: Time, foreign: bool) -> Self {
         let window = Window::new(endpoint.capacity);
-        let foreign = if foreign {
-            endpoint.capacity.warm
-        } else {
-            Load::default()
-        };
+        let foreign = if foreign { endpoint.capacity.warm } else { Load::default() };
         Self {
             endpoint,
             service: Service::In,
@@ -151,11 +147,7 @@
             .sum();
         let own = size.prompt.saturating_sub(cached);
         let prefill = self.endpoint.speed.prefill(ahead + own);
-        if self.cold {
-            prefill.mul_f64(COLD_ESTIMATE) + SLACK
-        } else {
-            prefill + SLACK
-        }
+        if self.cold { prefill.mul_f64(COLD_ESTIMATE) + SLACK } else { prefill + SLACK }
     }
 
     /// Estimated time from grant to the end of the answer.
@@ -170,14 +162,7 @@
         self.long += u32::from(size.class() == Class::Long);
         self.flights.insert(
             ticket,
-            Flight {
-                size,
-                granted: now,
-                expected,
-                deadline,
-                started: false,
-                orphaned: None,
-            },
+            Flight { size, granted: now, expected, deadline, started: false, orphaned: None },
         );
     }
 
@@ -234,18 +219,9 @@
     /// than there are requests with a living entry. It lags, so only orphans older than that are cleared.
     pub(crate) fn ended_orphans(&self, now: Time, report: Report) -> Vec<Ticket> {
         let settled = |f: &Flight| f.orphaned.is_some_and(|at| now.since(at) > REPORT_LAG);
-        let orphans: Vec<_> = self
-            .flights
-            .iter()
-            .filter(|(_, f)| settled(f))
-            .map(|(t, _)| *t)
-            .collect();
+        let orphans: Vec<_> = self.flights.iter().filter(|(_, f)| settled(f)).map(|(t, _)| *t).collect();
         let living = self.flights.len() - orphans.len();
-        if report.running as usize <= living {
-            orphans
-        } else {
-            Vec::new()
-        }
+        if report.running as usize <= living { orphans } else { Vec::new() }
     }
 
     /// Takes in that a request broke: no grant until the endpoint has shown which life it is in.
@@ -276,10 +252,8 @@
     pub(crate) fn reported(&mut self, report: Report) -> bool {
         let rebooted = self.seen(report.boot);
         self.cold = report.cold;
-        self.foreign.requests = self
-            .foreign
-            .requests
-            .min(report.running.saturating_sub(self.flights.len() as u32));
+        self.foreign.requests =
+            self.foreign.requests.min(report.running.saturating_sub(self.flights.len() as u32));
         if self.foreign.requests == 0 {
             self.foreign.tokens = Tokens(0);
         }
--- a/chestnutstage_core/src/stream.rs
+++ b/chestnutstage_core/src/stream.rs
@@ -49,12 +49,7 @@
 impl Assembly {
     /// Nothing received yet for `request`.
     pub const fn new(request: RequestId) -> Self {
-        Self {
-            request,
-            boot: None,
-            next: 0,
-            whole: false,
-        }
+        Self { request, boot: None, next: 0, whole: false }
     }
 
     /// Offset of the next piece to show.
--- a/chestnutstage_core/src/window.rs
+++ b/chestnutstage_core/src/window.rs
@@ -27,10 +27,7 @@
     /// Sum of two loads.
     #[must_use]
     pub fn plus(self, more: Self) -> Self {
-        Self {
-            requests: self.requests + more.requests,
-            tokens: self.tokens + more.tokens,
-        }
+        Self { requests: self.requests + more.requests, tokens: self.tokens + more.tokens }
     }
 
     /// Difference, never below zero.
@@ -99,11 +96,7 @@
 impl Window {
     /// A window at cold capacity.
     pub const fn new(capacity: Capacity) -> Self {
-        Self {
-            capacity,
-            requests: capacity.cold.requests,
-            usual: None,
-        }
+        Self { capacity, requests: capacity.cold.requests, usual: None }
     }
 
     /// Takes in another capacity; the window keeps its place between the new bounds.
@@ -119,10 +112,7 @@
         let span = u64::from(warm.requests.saturating_sub(cold.requests)).max(1);
         let grown = u64::from(self.requests.saturating_sub(cold.requests));
         let tokens = cold.tokens.0 + warm.tokens.0.saturating_sub(cold.tokens.0) * grown / span;
-        Load {
-            requests: share.of(u64::from(self.requests)) as u32,
-            tokens: Tokens(share.of(tokens)),
-        }
+        Load { requests: share.of(u64::from(self.requests)) as u32, tokens: Tokens(share.of(tokens)) }
     }
 
     /// Whether the window is at the cold capacity.
@@ -150,10 +140,7 @@
             self.reset();
             return Pace::Cold;
         }
-        self.usual = Some(
-            self.usual
-                .map_or(slowdown, |u| u + (slowdown - u) * SAMPLE_WEIGHT),
-        );
+        self.usual = Some(self.usual.map_or(slowdown, |u| u + (slowdown - u) * SAMPLE_WEIGHT));
         if slowdown > usual * NORMAL_SLOWDOWN {
             return Pace::Slow;
         }
--- a/chestnutstage_core/tests/admission.rs
+++ b/chestnutstage_core/tests/admission.rs
@@ -36,10 +36,7 @@
     let actions = owner.ask(at(0), ask(1, 1_000), at(500));
     expect!["the estimate of 1.066666667s exceeds the 500ms left before the deadline"]
         .assert_eq(&refusal(&actions).unwrap().to_string());
-    assert!(
-        refusal(&actions).unwrap().retry().is_some(),
-        "told when to come back"
-    );
+    assert!(refusal(&actions).unwrap().retry().is_some(), "told when to come back");
 }
 
 #[test]
@@ -50,10 +47,7 @@
     }
     assert!(owner.ask(at(0), ask(99, 1_000), at(4_000)).is_empty(), "queued");
     let actions = owner.tick(at(3_500));
-    assert!(
-        matches!(refusal(&actions), Some(Refusal::Expired { .. })),
-        "{actions:?}"
-    );
+    assert!(matches!(refusal(&actions), Some(Refusal::Expired { .. })), "{actions:?}");
     assert_eq!(owner.queued(), 0);
 }
 
@@ -78,19 +72,14 @@
     owner.ask(at(0), ask(20, 50_000), at(100_000));
     owner.ask(at(0), ask(21, 1_000), at(600_000));
     let next = grants(&owner.release(at(10), ticket(0), End::Done));
-    assert_eq!(
-        next[0].0,
-        ticket(21),
-        "a short prompt passes a longer one that came first"
-    );
+    assert_eq!(next[0].0, ticket(21), "a short prompt passes a longer one that came first");
 }
 
 #[test]
 fn one_long_each() {
     let mut owner = owner(3);
-    let granted: Vec<_> = (0..5)
-        .flat_map(|n| grants(&owner.ask(at(0), ask(n, 200_000), at(600_000))))
-        .collect();
+    let granted: Vec<_> =
+        (0..5).flat_map(|n| grants(&owner.ask(at(0), ask(n, 200_000), at(600_000)))).collect();
     let mut endpoints: Vec<_> = granted.iter().map(|(_, e)| e.to_string()).collect();
     endpoints.sort();
     assert_eq!(endpoints, ["e0", "e1", "e2"]);
@@ -129,10 +118,7 @@
             running.push(ticket);
         }
     }
-    assert!(
-        served[&true] >= 4,
-        "the small customer waits behind no backlog of the large one: {served:?}"
-    );
+    assert!(served[&true] >= 4, "the small customer waits behind no backlog of the large one: {served:?}");
 }
 
 #[test]
@@ -156,10 +142,7 @@
     }
     assert_eq!(owner.queued(), 1);
     let actions = owner.retain(at(10), |_| false);
-    assert!(
-        matches!(refusal(&actions), Some(Refusal::NoEndpoint { .. })),
-        "answered at once: {actions:?}"
-    );
+    assert!(matches!(refusal(&actions), Some(Refusal::NoEndpoint { .. })), "answered at once: {actions:?}");
 }
 
 #[test]
@@ -169,10 +152,7 @@
     owner.set_service(at(0), &"e0".into(), chestnutstage_core::Service::Out);
     owner.set_service(at(9_000), &"e0".into(), chestnutstage_core::Service::In);
     let back = owner.load(&"e0".into()).unwrap().1;
-    assert!(
-        back.requests < warm.requests,
-        "a returning endpoint is treated as cold"
-    );
+    assert!(back.requests < warm.requests, "a returning endpoint is treated as cold");
 }
 
 #[test]
@@ -203,17 +183,9 @@
     let mut owner = owner(1);
     owner.ask(at(0), ask(1, 1_000), at(10_000));
     owner.orphan(at(100), ticket(1));
-    assert_eq!(
-        owner.load(&"e0".into()).unwrap().0.requests,
-        1,
-        "it may still run"
-    );
+    assert_eq!(owner.load(&"e0".into()).unwrap().0.requests, 1, "it may still run");
     owner.report(at(200), &"e0".into(), report(1, false, 0));
-    assert_eq!(
-        owner.load(&"e0".into()).unwrap().0.requests,
-        1,
-        "the report may be older than the loss"
-    );
+    assert_eq!(owner.load(&"e0".into()).unwrap().0.requests, 1, "the report may be older than the loss");
     owner.report(at(4_000), &"e0".into(), report(1, false, 0));
     assert_eq!(owner.load(&"e0".into()).unwrap().0.requests, 0);
 }
--- a/chestnutstage_core/tests/answers.rs
+++ b/chestnutstage_core/tests/answers.rs
@@ -7,13 +7,7 @@
 use proptest::test_runner::{Config, RngSeed};
 
 fn piece(request: u128, boot: u64, offset: u64, last: bool) -> Piece {
-    Piece {
-        request: RequestId(request),
-        boot: BootId(boot),
-        offset,
-        text: String::new(),
-        last,
-    }
+    Piece { request: RequestId(request), boot: BootId(boot), offset, text: String::new(), last }
 }
 
 #[test]
@@ -21,11 +15,7 @@
     let mut assembly = Assembly::new(RequestId(1));
     assert_eq!(assembly.accept(&piece(2, 9, 0, false)), Accept::Foreign);
     assert_eq!(assembly.accept(&piece(1, 1, 0, false)), Accept::Show);
-    assert_eq!(
-        assembly.accept(&piece(1, 2, 1, false)),
-        Accept::Foreign,
-        "another life of the engine"
-    );
+    assert_eq!(assembly.accept(&piece(1, 2, 1, false)), Accept::Foreign, "another life of the engine");
 }
 
 #[test]
--- a/chestnutstage_core/tests/at_most_once.rs
+++ b/chestnutstage_core/tests/at_most_once.rs
@@ -18,33 +18,19 @@
 }
 
 fn row(nonce: u128, status: Status) -> Stored {
-    let claim = Claim {
-        hash: "hash".into(),
-        nonce: Nonce(nonce),
-        status,
-    };
-    Stored {
-        claim,
-        version: 1,
-        age: Duration::ZERO,
-    }
+    let claim = Claim { hash: "hash".into(), nonce: Nonce(nonce), status };
+    Stored { claim, version: 1, age: Duration::ZERO }
 }
 
 fn answer() -> Answer {
-    Answer {
-        status: 201,
-        body: "booked".into(),
-    }
+    Answer { status: 201, body: "booked".into() }
 }
 
 #[test]
 fn lost_insert_answer() {
     let mut attempt = attempt(1);
     assert_eq!(attempt.step(at(0), Event::AnswerLost), Step::Read);
-    assert_eq!(
-        attempt.step(at(10), Event::Read(Some(row(1, Status::Claimed)))),
-        Step::Send
-    );
+    assert_eq!(attempt.step(at(10), Event::Read(Some(row(1, Status::Claimed)))), Step::Send);
 }
 
 #[test]
@@ -52,63 +38,36 @@
     let mut attempt = attempt(1);
     attempt.step(at(0), Event::AnswerLost);
     assert!(matches!(attempt.step(at(10), Event::Read(None)), Step::Insert(_)));
-    assert_eq!(
-        attempt.step(at(20), Event::Exists(row(1, Status::Claimed))),
-        Step::Send
-    );
+    assert_eq!(attempt.step(at(20), Event::Exists(row(1, Status::Claimed))), Step::Send);
 }
 
 #[test]
 fn paused_sender() {
     let mut attempt = attempt(1);
     let step = attempt.step(at(5_000), Event::Written(1));
-    assert!(matches!(
-        step,
-        Step::Finish(
-            Verdict::NotRun,
-            Some((
-                1,
-                Claim {
-                    status: Status::NotRun,
-                    ..
-                }
-            ))
-        )
-    ));
+    assert!(matches!(step, Step::Finish(Verdict::NotRun, Some((1, Claim { status: Status::NotRun, .. })))));
 }
 
 #[test]
 fn key_reuse_conflict() {
     let mut other = row(2, Status::Claimed);
     other.claim.hash = "another".into();
-    assert_eq!(
-        attempt(1).step(at(0), Event::Exists(other)),
-        Step::Finish(Verdict::Conflict, None)
-    );
+    assert_eq!(attempt(1).step(at(0), Event::Exists(other)), Step::Finish(Verdict::Conflict, None));
 }
 
 #[test]
 fn replayed_answer() {
     let found = Event::Exists(row(2, Status::Answered(answer())));
-    let verdict = Verdict::Answer {
-        answer: answer(),
-        replayed: true,
-    };
+    let verdict = Verdict::Answer { answer: answer(), replayed: true };
     assert_eq!(attempt(1).step(at(0), found), Step::Finish(verdict, None));
 }
 
 #[test]
 fn dead_sender() {
     let mut old = row(2, Status::Claimed);
-    assert_eq!(
-        attempt(1).step(at(0), Event::Exists(old.clone())),
-        Step::Finish(Verdict::InProgress, None)
-    );
+    assert_eq!(attempt(1).step(at(0), Event::Exists(old.clone())), Step::Finish(Verdict::InProgress, None));
     old.age = Duration::from_hours(1);
-    assert_eq!(
-        attempt(1).step(at(0), Event::Exists(old)),
-        Step::Finish(Verdict::Unknown, None)
-    );
+    assert_eq!(attempt(1).step(at(0), Event::Exists(old)), Step::Finish(Verdict::Unknown, None));
 }
 
 #[test]
@@ -124,29 +83,14 @@
     let mut attempt = attempt(1);
     attempt.step(at(0), Event::Written(1));
     let step = attempt.step(at(10), Event::Broken);
-    assert!(matches!(
-        step,
-        Step::Finish(
-            Verdict::Unknown,
-            Some((
-                1,
-                Claim {
-                    status: Status::Lost,
-                    ..
-                }
-            ))
-        )
-    ));
+    assert!(matches!(step, Step::Finish(Verdict::Unknown, Some((1, Claim { status: Status::Lost, .. })))));
 }
 
 #[test]
 fn store_down() {
     let mut attempt = attempt(1);
     assert_eq!(attempt.step(at(0), Event::StoreDown), Step::Read);
-    assert_eq!(
-        attempt.step(at(1_000), Event::StoreDown),
-        Step::Finish(Verdict::StoreDown, None)
-    );
+    assert_eq!(attempt.step(at(1_000), Event::StoreDown), Step::Finish(Verdict::StoreDown, None));
 }
 
 /// A store that loses answers, delays writes, and goes down, as the seed says.
@@ -168,11 +112,7 @@
 
     fn read(&self) -> Option<Stored> {
         let (claim, version) = self.row.clone()?;
-        Some(Stored {
-            claim,
-            version,
-            age: Duration::ZERO,
-        })
+        Some(Stored { claim, version, age: Duration::ZERO })
     }
 
     /// Carries out a write that was delayed.
--- a/chestnutstage_core/tests/cold_start.rs
+++ b/chestnutstage_core/tests/cold_start.rs
@@ -35,14 +35,8 @@
     }
     // No first token for many times the estimate: the endpoint must have turned cold.
     let actions = owner.tick(at(5_000));
-    assert!(actions.contains(&Action::Reset {
-        endpoint: "e1".into(),
-        cause: Cause::Cold
-    }));
-    let recalled = actions
-        .iter()
-        .filter(|a| matches!(a, Action::Recall { .. }))
-        .count();
+    assert!(actions.contains(&Action::Reset { endpoint: "e1".into(), cause: Cause::Cold }));
+    let recalled = actions.iter().filter(|a| matches!(a, Action::Recall { .. })).count();
     assert_eq!(recalled, 8);
     let (load, limit) = owner.load(&"e1".into()).unwrap();
     assert_eq!((load.requests, limit), (2, capacity().cold));
@@ -56,10 +50,7 @@
         owner.ask(at(100), ask(n, 1_000), at(60_000));
     }
     let actions = owner.report(at(200), &"e1".into(), report(2, true, 0));
-    assert!(actions.contains(&Action::Reset {
-        endpoint: "e1".into(),
-        cause: Cause::Rebooted
-    }));
+    assert!(actions.contains(&Action::Reset { endpoint: "e1".into(), cause: Cause::Rebooted }));
     assert_eq!(owner.load(&"e1".into()).unwrap().0.requests, 2);
 }
 
@@ -71,23 +62,13 @@
         owner.ask(at(100), ask(n, 1_000), at(60_000));
     }
     let actions = owner.answered_by(at(200), &"e1".into(), BootId(2));
-    assert!(actions.contains(&Action::Reset {
-        endpoint: "e1".into(),
-        cause: Cause::Rebooted
-    }));
-    assert_eq!(
-        owner.load(&"e1".into()).unwrap(),
-        (load_of(2), capacity().cold),
-        "closed before any report"
-    );
+    assert!(actions.contains(&Action::Reset { endpoint: "e1".into(), cause: Cause::Rebooted }));
+    assert_eq!(owner.load(&"e1".into()).unwrap(), (load_of(2), capacity().cold), "closed before any report");
 }
 
 /// Load of `count` short requests that have not started.
 fn load_of(count: u32) -> Load {
-    Load {
-        requests: count,
-        tokens: Tokens(u64::from(count) * 1_000),
-    }
+    Load { requests: count, tokens: Tokens(u64::from(count) * 1_000) }
 }
 
 #[test]
@@ -96,11 +77,7 @@
     for report_number in 0..10 {
         owner.report(at(report_number * 2_000), &"e1".into(), report(1, false, 0));
     }
-    assert_eq!(
-        owner.load(&"e1".into()).unwrap().1,
-        capacity().warm,
-        "its own word opens it within 20 s"
-    );
+    assert_eq!(owner.load(&"e1".into()).unwrap().1, capacity().warm, "its own word opens it within 20 s");
 }
 
 #[test]
@@ -110,10 +87,7 @@
     // Completions of an endpoint that says it is cold do not open the window.
     for n in 0..10 {
         let now = at(n * 1_000);
-        assert_eq!(
-            grants(&owner.ask(now, ask(n, 1_000), now + Duration::from_mins(1))).len(),
-            1
-        );
+        assert_eq!(grants(&owner.ask(now, ask(n, 1_000), now + Duration::from_mins(1))).len(), 1);
         owner.started(now + Duration::from_millis(60), ticket(n), Tokens(0));
         owner.release(now + Duration::from_millis(80), ticket(n), End::Done);
     }
@@ -124,29 +98,17 @@
 fn unverified_endpoint() {
     let mut owner = owner(at(0), false);
     assert!(grants(&owner.ask(at(0), ask(1, 1_000), at(60_000))).is_empty());
-    assert_eq!(
-        grants(&owner.report(at(50), &"e1".into(), report(1, false, 0))).len(),
-        1
-    );
+    assert_eq!(grants(&owner.report(at(50), &"e1".into(), report(1, false, 0))).len(), 1);
 }
 
 #[test]
 fn former_owner() {
     let mut owner = owner(at(0), true);
     owner.report(at(10), &"e1".into(), report(1, false, 2));
-    assert!(
-        grants(&owner.ask(at(20), ask(1, 1_000), at(60_000))).is_empty(),
-        "a former grant may be unused"
-    );
+    assert!(grants(&owner.ask(at(20), ask(1, 1_000), at(60_000))).is_empty(), "a former grant may be unused");
     owner.report(at(1_100), &"e1".into(), report(1, true, 2));
-    assert!(
-        grants(&owner.tick(at(1_200))).is_empty(),
-        "two of the former owner's still run"
-    );
-    assert_eq!(
-        grants(&owner.report(at(1_300), &"e1".into(), report(1, true, 0))).len(),
-        1
-    );
+    assert!(grants(&owner.tick(at(1_200))).is_empty(), "two of the former owner's still run");
+    assert_eq!(grants(&owner.report(at(1_300), &"e1".into(), report(1, true, 0))).len(), 1);
 }
 
 #[test]
@@ -154,10 +116,7 @@
     let mut owner = owner(at(0), true);
     owner.report(at(10), &"e1".into(), report(1, false, 0));
     let early = owner.ask(at(20), ask(1, 1_000), at(60_000));
-    assert!(
-        grants(&early).is_empty(),
-        "a grant of the former owner may still be used"
-    );
+    assert!(grants(&early).is_empty(), "a grant of the former owner may still be used");
     assert_eq!(grants(&owner.tick(at(1_001))).len(), 1);
 }
 
@@ -166,14 +125,8 @@
     let mut owner = owner(at(0), false);
     warm(&mut owner);
     let mut narrowed = engine("e1");
-    let load = Load {
-        requests: 1,
-        tokens: Tokens(4_000),
-    };
-    narrowed.capacity = Capacity {
-        cold: load,
-        warm: load,
-    };
+    let load = Load { requests: 1, tokens: Tokens(4_000) };
+    narrowed.capacity = Capacity { cold: load, warm: load };
     owner.adopt(at(100), narrowed, true);
     assert_eq!(
         owner.load(&"e1".into()).unwrap().1,
@@ -194,10 +147,7 @@
         for seen in 0..=roster {
             let (left, right) = (limit(seen, roster), limit(roster - seen, roster));
             let sum = left.plus(right);
-            assert!(
-                Load::default().fits(sum, capacity().cold),
-                "{seen} of {roster}: {sum:?}"
-            );
+            assert!(Load::default().fits(sum, capacity().cold), "{seen} of {roster}: {sum:?}");
         }
     }
 }
@@ -210,17 +160,9 @@
         owner.ask(at(100), ask(n, 1_000), at(60_000));
     }
     let actions = owner.release(at(200), ticket(0), End::Broken);
-    assert!(actions.contains(&Action::Probe {
-        endpoint: "e1".into()
-    }));
-    assert!(
-        grants(&owner.ask(at(210), ask(9, 1_000), at(60_000))).is_empty(),
-        "not before it is verified"
-    );
-    assert_eq!(
-        grants(&owner.report(at(250), &"e1".into(), report(1, false, 3))).len(),
-        1
-    );
+    assert!(actions.contains(&Action::Probe { endpoint: "e1".into() }));
+    assert!(grants(&owner.ask(at(210), ask(9, 1_000), at(60_000))).is_empty(), "not before it is verified");
+    assert_eq!(grants(&owner.report(at(250), &"e1".into(), report(1, false, 3))).len(), 1);
 }
 
 /// Something that happens in the property test.
@@ -272,21 +214,11 @@
         }
         let id: EndpointId = "e1".into();
         let (load, limit) = owner.load(&id).unwrap();
-        assert_eq!(
-            load.requests as usize,
-            self.running.len(),
-            "the owner's count is exact"
-        );
+        assert_eq!(load.requests as usize, self.running.len(), "the owner's count is exact");
         if self.cold && actions.iter().any(|a| matches!(a, Action::Grant { .. })) {
             let bound = capacity().cold;
-            assert!(
-                Load::default().fits(limit, bound),
-                "window beyond the cold bound: {limit:?}"
-            );
-            assert!(
-                Load::default().fits(load, bound),
-                "granted beyond the cold bound: {load:?}"
-            );
+            assert!(Load::default().fits(limit, bound), "window beyond the cold bound: {limit:?}");
+            assert!(Load::default().fits(load, bound), "granted beyond the cold bound: {load:?}");
         }
     }
 }
--- a/chestnutstage_core/tests/common/mod.rs
+++ b/chestnutstage_core/tests/common/mod.rs
@@ -16,22 +16,13 @@
 }
 
 pub fn ticket(n: u64) -> Ticket {
-    Ticket {
-        request: RequestId(u128::from(n) << 16),
-        attempt: 0,
-    }
+    Ticket { request: RequestId(u128::from(n) << 16), attempt: 0 }
 }
 
 pub fn capacity() -> Capacity {
     Capacity {
-        cold: Load {
-            requests: 2,
-            tokens: Tokens(16_000),
-        },
-        warm: Load {
-            requests: 16,
-            tokens: Tokens(120_000),
-        },
+        cold: Load { requests: 2, tokens: Tokens(16_000) },
+        warm: Load { requests: 16, tokens: Tokens(120_000) },
     }
 }
 
@@ -43,10 +34,7 @@
         kind: Kind::Engine,
         models: vec![MODEL.into()],
         capacity: capacity(),
-        speed: Speed {
-            prefill: 60_000,
-            step: 20_000,
-        },
+        speed: Speed { prefill: 60_000, step: 20_000 },
         memory: Tokens(450_000),
         fenced: true,
         leaving: false,
@@ -54,12 +42,7 @@
 }
 
 pub fn report(boot: u64, cold: bool, running: u32) -> Report {
-    Report {
-        boot: BootId(boot),
-        cold,
-        running,
-        held: Tokens(0),
-    }
+    Report { boot: BootId(boot), cold, running, held: Tokens(0) }
 }
 
 pub fn ask(n: u64, prompt: u64) -> Ask {
@@ -72,10 +55,7 @@
         customer: customer.into(),
         weight: 1,
         model: MODEL.into(),
-        size: Size {
-            prompt: Tokens(prompt),
-            output: Tokens(50),
-        },
+        size: Size { prompt: Tokens(prompt), output: Tokens(50) },
         prefix: None,
         patient: true,
         avoid: Vec::new(),
--- a/chestnutstage_core/tests/configuration.rs
+++ b/chestnutstage_core/tests/configuration.rs
@@ -38,22 +38,10 @@
     currency.read_store(at(0), Version(0));
     assert!(!currency.is_current(at(0)), "without any configuration");
     currency.apply(Version(3));
-    currency.assured_by(
-        at(0),
-        Fresh {
-            version: Version(4),
-            age: Duration::ZERO,
-        },
-    );
+    currency.assured_by(at(0), Fresh { version: Version(4), age: Duration::ZERO });
     assert!(!currency.is_current(at(0)), "a peer has a newer one");
     currency.apply(Version(4));
-    currency.assured_by(
-        at(0),
-        Fresh {
-            version: Version(4),
-            age: Duration::ZERO,
-        },
-    );
+    currency.assured_by(at(0), Fresh { version: Version(4), age: Duration::ZERO });
     assert!(currency.is_current(at(0)));
 }
 
@@ -79,10 +67,7 @@
 fn paused_process() {
     let mut currency = current(1);
     currency.read_store(at(0), Version(1));
-    assert!(
-        !currency.is_current(at(20_000)),
-        "the assurance aged during the pause"
-    );
+    assert!(!currency.is_current(at(20_000)), "the assurance aged during the pause");
     currency.read_store(at(19_000), Version(1));
     currency.doubt();
     assert!(!currency.is_current(at(20_000)));
@@ -118,10 +103,7 @@
     let all = members(5);
     let mut acceptance = Acceptance::new(at(0), Version(5), all.clone());
     all[..4].iter().for_each(|m| acceptance.acked(m, Version(5)));
-    assert!(
-        matches!(acceptance.progress(at(4_000)), Progress::Committed { .. }),
-        "it may still take work"
-    );
+    assert!(matches!(acceptance.progress(at(4_000)), Progress::Committed { .. }), "it may still take work");
     assert_eq!(acceptance.progress(at(6_000)), Progress::InForce);
 }
 
@@ -142,10 +124,8 @@
         let targets: Vec<usize> = (0..count).collect();
         let parts = branches(&targets, 8);
         assert!(parts.len() <= 8);
-        let mut all: Vec<_> = parts
-            .into_iter()
-            .flat_map(|(head, rest)| rest.into_iter().chain([head]))
-            .collect();
+        let mut all: Vec<_> =
+            parts.into_iter().flat_map(|(head, rest)| rest.into_iter().chain([head])).collect();
         all.sort_unstable();
         assert_eq!(all, targets);
     }
--- a/chestnutstage_core/tests/limits.rs
+++ b/chestnutstage_core/tests/limits.rs
@@ -17,10 +17,7 @@
 use common::{MODEL, at};
 
 fn contract() -> Contract {
-    Contract {
-        rate: 1_000,
-        ..Contract::default()
-    }
+    Contract { rate: 1_000, ..Contract::default() }
 }
 
 #[test]
@@ -66,10 +63,7 @@
         }
         spent += 100;
     }
-    assert!(
-        spent >= 90_000,
-        "one instance alone can use most of the rate: {spent}"
-    );
+    assert!(spent >= 90_000, "one instance alone can use most of the rate: {spent}");
 }
 
 #[test]
@@ -84,11 +78,7 @@
         "a full account pays for more than it holds"
     );
     let short = local.spend(at(1_000), Tokens(500), &contract).unwrap_err();
-    assert_eq!(
-        home.lend(at(1_000), short.borrow),
-        Tokens(0),
-        "and pays it off first"
-    );
+    assert_eq!(home.lend(at(1_000), short.borrow), Tokens(0), "and pays it off first");
 }
 
 #[test]
@@ -107,10 +97,7 @@
 fn growing_backoff() {
     let mut budget = RetryBudget::new(1);
     let (first, late) = (budget.retry(0).unwrap(), budget.retry(10).unwrap());
-    assert!(
-        first <= Duration::from_millis(20) && late >= Duration::from_millis(500),
-        "{first:?} {late:?}"
-    );
+    assert!(first <= Duration::from_millis(20) && late >= Duration::from_millis(500), "{first:?} {late:?}");
 }
 
 #[test]
@@ -124,9 +111,8 @@
 fn router(count: usize) -> (Router, Vec<(InstanceId, ZoneId)>) {
     let mut router = Router::new("a".into(), 1);
     let zones = ["a", "b", "c"];
-    let peers: Vec<(InstanceId, ZoneId)> = (0..count)
-        .map(|i| (format!("i{i}").as_str().into(), zones[i % 3].into()))
-        .collect();
+    let peers: Vec<(InstanceId, ZoneId)> =
+        (0..count).map(|i| (format!("i{i}").as_str().into(), zones[i % 3].into())).collect();
     let model: ModelId = MODEL.into();
     let models = ModelSet::of([&model]);
     let views = peers.iter().map(|(id, zone)| Peer { id, zone, models });
@@ -139,38 +125,26 @@
     let (mut router, peers) = router(9);
     for prefix in 0..50 {
         let first = router.candidates(at(0), &MODEL.into(), Class::Short, Some(prefix))[0].clone();
-        assert!(
-            peers
-                .iter()
-                .any(|(id, zone)| *id == first && zone.as_str() == "a")
-        );
+        assert!(peers.iter().any(|(id, zone)| *id == first && zone.as_str() == "a"));
     }
 }
 
 #[test]
 fn spill_when_busy() {
     let (mut router, peers) = router(9);
-    let busy = Summary {
-        free: 0,
-        wait: Duration::from_millis(400),
-    };
+    let busy = Summary { free: 0, wait: Duration::from_millis(400) };
     for (id, _) in peers.iter().filter(|(_, z)| z.as_str() == "a") {
         router.learn(at(0), id, &MODEL.into(), busy);
     }
     let first = router.candidates(at(100), &MODEL.into(), Class::Short, None)[0].clone();
-    assert!(
-        peers
-            .iter()
-            .any(|(id, zone)| *id == first && zone.as_str() != "a")
-    );
+    assert!(peers.iter().any(|(id, zone)| *id == first && zone.as_str() != "a"));
 }
 
 #[test]
 fn same_prefix_same_owner() {
     let (mut router, _) = router(30);
-    let first: BTreeSet<_> = (0..20)
-        .map(|_| router.candidates(at(0), &MODEL.into(), Class::Short, Some(42))[0].clone())
-        .collect();
+    let first: BTreeSet<_> =
+        (0..20).map(|_| router.candidates(at(0), &MODEL.into(), Class::Short, Some(42))[0].clone()).collect();
     assert_eq!(first.len(), 1);
 }
 
@@ -179,10 +153,7 @@
     let (mut router, _) = router(9);
     let first = router.candidates(at(0), &MODEL.into(), Class::Short, Some(42))[0].clone();
     router.avoid(at(0), &first);
-    assert_ne!(
-        router.candidates(at(100), &MODEL.into(), Class::Short, Some(42))[0],
-        first
-    );
+    assert_ne!(router.candidates(at(100), &MODEL.into(), Class::Short, Some(42))[0], first);
 }
 
 #[test]
@@ -190,13 +161,9 @@
     let zone = ZoneId::from("a");
     let instances: Vec<InstanceId> = (0..8).map(|i| format!("i{i}").as_str().into()).collect();
     let owner = |key: &str, skip: Option<&InstanceId>| {
-        rendezvous::owner(
-            key,
-            &zone,
-            instances.iter().filter(|i| Some(*i) != skip).map(|i| (i, &zone)),
-        )
-        .cloned()
-        .unwrap()
+        rendezvous::owner(key, &zone, instances.iter().filter(|i| Some(*i) != skip).map(|i| (i, &zone)))
+            .cloned()
+            .unwrap()
     };
     let mut counts = HashMap::<InstanceId, u32>::new();
     for n in 0..800 {
--- a/chestnutstage_core/tests/long_prompt.rs
+++ b/chestnutstage_core/tests/long_prompt.rs
@@ -13,10 +13,7 @@
 const MEMORY: Tokens = Tokens(450_000);
 
 fn size(prompt: u64) -> Size {
-    Size {
-        prompt: Tokens(prompt),
-        output: Tokens(1_000),
-    }
+    Size { prompt: Tokens(prompt), output: Tokens(1_000) }
 }
 
 #[test]
@@ -38,11 +35,7 @@
     let mut chain = Chain::new(3);
     assert_eq!(chain.next(), Step::Seat(0));
     assert_eq!(chain.step(0, Event::Seated), Step::Seat(1));
-    assert_eq!(
-        chain.step(1, Event::Refused),
-        Step::BackOff,
-        "what was taken is given back"
-    );
+    assert_eq!(chain.step(1, Event::Refused), Step::BackOff, "what was taken is given back");
     assert_eq!(chain.next(), Step::Seat(0));
 }
 
@@ -57,11 +50,7 @@
     }
     chain.step(0, Event::Filled);
     chain.step(1, Event::Filled);
-    assert_eq!(
-        chain.step(1, Event::Broken),
-        Step::Seat(1),
-        "only its own segment is done over"
-    );
+    assert_eq!(chain.step(1, Event::Broken), Step::Seat(1), "only its own segment is done over");
     chain.step(1, Event::Seated);
     assert_eq!(chain.step(1, Event::Reserved), Step::Fill(1));
     assert_eq!(chain.step(1, Event::Filled), Step::Fill(2));
@@ -78,22 +67,14 @@
 
 #[test]
 fn name_round_trip() {
-    let name = Name {
-        holder: "i1.north".into(),
-        request: RequestId(0xabc),
-        segment: 2,
-    };
+    let name = Name { holder: "i1.north".into(), request: RequestId(0xabc), segment: 2 };
     assert_eq!(Name::parse(&name.to_string()), Some(name));
     assert_eq!(Name::parse("someone-elses"), None);
 }
 
 #[test]
 fn fate_of_memory() {
-    let name = Name {
-        holder: "i1".into(),
-        request: RequestId(1),
-        segment: 0,
-    };
+    let name = Name { holder: "i1".into(), request: RequestId(1), segment: 0 };
     let (minute, hour) = (Duration::from_mins(1), Duration::from_hours(1));
     assert_eq!(name.fate(Holder::Serves, minute, hour), Fate::Keep);
     assert_eq!(name.fate(Holder::Ended, minute, hour), Fate::Free);
@@ -104,11 +85,7 @@
     );
     assert_eq!(name.fate(Holder::Gone, minute, hour), Fate::Free);
     assert_eq!(name.fate(Holder::Unknown, minute, hour), Fate::Keep);
-    assert_eq!(
-        name.fate(Holder::Unknown, hour, hour),
-        Fate::Free,
-        "expiry needs nobody's word"
-    );
+    assert_eq!(name.fate(Holder::Unknown, hour, hour), Fate::Free, "expiry needs nobody's word");
 }
 
 proptest! {
--- a/chestnutstage_core/tests/membership.rs
+++ b/chestnutstage_core/tests/membership.rs
@@ -41,33 +41,19 @@
             view.list(all.iter().map(|m| (m.id.clone(), m.address)).collect());
             views.insert(me.id.clone(), view);
         }
-        Self {
-            views,
-            silent: BTreeSet::new(),
-            now: 0,
-        }
+        Self { views, silent: BTreeSet::new(), now: 0 }
     }
 
     fn gossip(view: &mut Members) -> Gossip {
         let news = view.news();
-        Gossip {
-            from: view.me().id.clone(),
-            version: Version(1),
-            fresh: None,
-            news,
-        }
+        Gossip { from: view.me().id.clone(), version: Version(1), fresh: None, news }
     }
 
     /// Lets time pass in steps of 50 ms.
     fn run(&mut self, millis: u64) {
         for _ in 0..millis / 50 {
             self.now += 50;
-            let names: Vec<_> = self
-                .views
-                .keys()
-                .filter(|id| !self.silent.contains(*id))
-                .cloned()
-                .collect();
+            let names: Vec<_> = self.views.keys().filter(|id| !self.silent.contains(*id)).cloned().collect();
             for name in names {
                 let actions = self.views.get_mut(&name).unwrap().tick(at(self.now));
                 for action in actions {
@@ -190,9 +176,5 @@
     let actions = view.list([(id(1), address)].into());
     assert_eq!(actions, vec![Action::Probe { peer: id(1), address }]);
     let share = view.share();
-    assert_eq!(
-        (share.seen, share.roster),
-        (1, 2),
-        "who was never heard of counts as not seen"
-    );
+    assert_eq!((share.seen, share.roster), (1, 2), "who was never heard of counts as not seen");
 }
--- a/chestnutstage_fakes/src/demo.rs
+++ b/chestnutstage_fakes/src/demo.rs
@@ -31,16 +31,8 @@
 /// An instance refused a change, or did not get ready.
 pub async fn seed(world: &World) -> Result<(), String> {
     let client = Client::builder().no_proxy().build().map_err(|e| e.to_string())?;
-    let address = world
-        .callers
-        .values()
-        .next()
-        .ok_or("the deployment has no instance")?;
-    let token = world
-        .operators
-        .values()
-        .next()
-        .ok_or("the deployment has no operator")?;
+    let address = world.callers.values().next().ok_or("the deployment has no instance")?;
+    let token = world.operators.values().next().ok_or("the deployment has no operator")?;
     for (base, change) in first_changes(&world.customers, RATE).iter().enumerate() {
         let body = json!({"base": base, "reason": "first configuration of the demo", "change": change});
         send_change(&client, address, token, &body).await?;
@@ -54,17 +46,11 @@
 async fn send_change(client: &Client, address: &str, token: &str, body: &Value) -> Result<(), String> {
     let until = Instant::now() + READY_LIMIT;
     loop {
-        let request = client
-            .post(format!("{address}/operator/change"))
-            .bearer_auth(token)
-            .json(body);
+        let request = client.post(format!("{address}/operator/change")).bearer_auth(token).json(body);
         match request.send().await {
             Ok(response) if response.status().is_success() => return Ok(()),
             Ok(response) if response.status().as_u16() != 503 => {
-                return Err(format!(
-                    "change refused: {}",
-                    response.text().await.unwrap_or_default()
-                ));
+                return Err(format!("change refused: {}", response.text().await.unwrap_or_default()));
             }
             _ if Instant::now() > until => return Err(format!("{address} takes no change")),
             _ => sleep(Duration::from_millis(200)).await,
@@ -95,10 +81,7 @@
         bookings: BOOKINGS,
     };
     vec![
-        Phase {
-            rate: WARM_UP_LOAD,
-            ..phase("warm-up", 15, false)
-        },
+        Phase { rate: WARM_UP_LOAD, ..phase("warm-up", 15, false) },
         phase("short only", 12, false),
         phase("with long", 15, true),
         phase("zone out", 12, true),
@@ -139,17 +122,11 @@
     let failed = |e: std::io::Error| format!("signal in {}: {e}", folder.display());
     std::fs::write(&asked, phase).map_err(failed)?;
     let answer = async {
-        while std::fs::read_to_string(&answered)
-            .is_ok_and(|s| s.trim() == phase)
-            .then_some(())
-            .is_none()
-        {
+        while std::fs::read_to_string(&answered).is_ok_and(|s| s.trim() == phase).then_some(()).is_none() {
             sleep(Duration::from_millis(50)).await;
         }
     };
-    timeout(OPERATOR_LIMIT, answer)
-        .await
-        .map_err(|_| format!("no answer to phase {phase}"))
+    timeout(OPERATOR_LIMIT, answer).await.map_err(|_| format!("no answer to phase {phase}"))
 }
 
 async fn check(driver: &Driver, done: &[(Phase, Results)]) -> Result<(), String> {
--- a/chestnutstage_fakes/src/endpoint.rs
+++ b/chestnutstage_fakes/src/endpoint.rs
@@ -141,11 +141,7 @@
             fault: None,
             submitted: 0,
         };
-        let fake = Self {
-            inner: Arc::new(Mutex::new(inner)),
-            work: Arc::new(Notify::new()),
-            address,
-        };
+        let fake = Self { inner: Arc::new(Mutex::new(inner)), work: Arc::new(Notify::new()), address };
         tokio::spawn(fake.clone().run());
         let router = fake.router();
         tokio::spawn(async move { axum::serve(listener, router).await });
@@ -253,20 +249,9 @@
         if boot != self.engine.boot() {
             return;
         }
-        for Made::Token {
-            id,
-            offset,
-            cached,
-            last,
-        } in made
-        {
+        for Made::Token { id, offset, cached, last } in made {
             if let Some(track) = self.tracks.get_mut(&id) {
-                track.tokens.send_replace(Progress {
-                    made: offset + 1,
-                    cached,
-                    last,
-                    broken: false,
-                });
+                track.tokens.send_replace(Progress { made: offset + 1, cached, last, broken: false });
                 if last {
                     track.ended = Some(Instant::now());
                 }
@@ -276,9 +261,7 @@
 
     /// Cancels what nobody reads and forgets what is long finished.
     fn sweep(&mut self) {
-        let Self {
-            engine, tracks, kv, ..
-        } = self;
+        let Self { engine, tracks, kv, .. } = self;
         tracks.retain(|id, t| {
             let deserted =
                 t.ended.is_none() && t.readers == 0 && t.idle.is_some_and(|i| i.elapsed() > RESUME_GRACE);
@@ -319,11 +302,7 @@
 fn text_len(content: &Value) -> usize {
     match content {
         Value::String(s) => s.len(),
-        Value::Array(parts) => parts
-            .iter()
-            .filter_map(|p| p["text"].as_str())
-            .map(str::len)
-            .sum(),
+        Value::Array(parts) => parts.iter().filter_map(|p| p["text"].as_str()).map(str::len).sum(),
         _ => 0,
     }
 }
@@ -341,34 +320,21 @@
     headers: HeaderMap,
     Json(body): Json<Completion>,
 ) -> Response {
-    let Some(id) = header::<String>(&headers, "x-request-id")
-        .as_deref()
-        .and_then(request_id)
-    else {
+    let Some(id) = header::<String>(&headers, "x-request-id").as_deref().and_then(request_id) else {
         return (StatusCode::BAD_REQUEST, "x-request-id is missing").into_response();
     };
     if fake.lock().fault == Some(Fault::Hang) {
         std::future::pending::<()>().await;
     }
     // With the KV caches of all segments at hand there is nothing left to prefill.
-    let prompt = if headers.contains_key("x-kv-chain") {
-        Tokens(1)
-    } else {
-        body.prompt()
-    };
+    let prompt = if headers.contains_key("x-kv-chain") { Tokens(1) } else { body.prompt() };
     let boot = {
         let mut inner = fake.lock();
         if inner.fault == Some(Fault::Refuse) {
             let refusal = json!({"outcome": "not_run", "error": "draining"});
             return (StatusCode::SERVICE_UNAVAILABLE, Json(refusal)).into_response();
         }
-        if !inner
-            .engine
-            .endpoint()
-            .models
-            .iter()
-            .any(|m| m.as_str() == body.model)
-        {
+        if !inner.engine.endpoint().models.iter().any(|m| m.as_str() == body.model) {
             let refusal = json!({"outcome": "not_run", "error": "model not loaded"});
             return (StatusCode::NOT_FOUND, Json(refusal)).into_response();
         }
@@ -445,17 +411,10 @@
         };
         track.readers += 1;
         track.silenced.send_replace(false);
-        let chunk = Chunk {
-            id,
-            model: track.model.clone(),
-            prompt: track.prompt,
-        };
+        let chunk = Chunk { id, model: track.model.clone(), prompt: track.prompt };
         (track.tokens.subscribe(), track.silenced.subscribe(), chunk)
     };
-    let reader = Reader {
-        fake: fake.clone(),
-        id,
-    };
+    let reader = Reader { fake: fake.clone(), id };
     let events = pieces(reader, tokens, silenced, chunk, from);
     let mut response = Sse::new(events).into_response();
     if let Ok(value) = boot.0.to_string().parse() {
@@ -494,9 +453,7 @@
             }],
             "usage": usage,
         });
-        Event::default()
-            .id(format!("{}:{offset}", self.id))
-            .data(data.to_string())
+        Event::default().id(format!("{}:{offset}", self.id)).data(data.to_string())
     }
 }
 
@@ -509,27 +466,20 @@
     chunk: Chunk,
     from: u64,
 ) -> impl Stream<Item = Item> {
-    stream::unfold(
-        (reader, tokens, silenced, chunk, from, false),
-        |state| async move {
-            let (reader, mut tokens, silenced, chunk, offset, done) = state;
-            if done {
-                return None;
-            }
-            let progress = tokens
-                .wait_for(|p| p.made > offset || p.broken)
-                .await
-                .ok()
-                .map(|p| *p);
-            if *silenced.borrow() {
-                std::future::pending::<()>().await;
-            }
-            let progress = progress.filter(|p| !p.broken && p.made > offset)?;
-            let event = chunk.event(offset, progress);
-            let done = progress.last && offset + 1 == progress.made;
-            Some((Ok(event), (reader, tokens, silenced, chunk, offset + 1, done)))
-        },
-    )
+    stream::unfold((reader, tokens, silenced, chunk, from, false), |state| async move {
+        let (reader, mut tokens, silenced, chunk, offset, done) = state;
+        if done {
+            return None;
+        }
+        let progress = tokens.wait_for(|p| p.made > offset || p.broken).await.ok().map(|p| *p);
+        if *silenced.borrow() {
+            std::future::pending::<()>().await;
+        }
+        let progress = progress.filter(|p| !p.broken && p.made > offset)?;
+        let event = chunk.event(offset, progress);
+        let done = progress.last && offset + 1 == progress.made;
+        Some((Ok(event), (reader, tokens, silenced, chunk, offset + 1, done)))
+    })
 }
 
 async fn load(State(fake): State<EndpointFake>) -> Response {
@@ -543,10 +493,7 @@
 async fn list_kv(State(fake): State<EndpointFake>) -> Json<BTreeMap<String, Holding>> {
     let mut inner = fake.lock();
     inner.sweep();
-    let aged = |h: &Held| Holding {
-        age: h.since.elapsed().as_millis() as u64,
-        ..h.holding.clone()
-    };
+    let aged = |h: &Held| Holding { age: h.since.elapsed().as_millis() as u64, ..h.holding.clone() };
     Json(inner.kv.iter().map(|(id, h)| (id.clone(), aged(h))).collect())
 }
 
@@ -565,13 +512,7 @@
     if used + holding.tokens > inner.engine.endpoint().memory.0 {
         return StatusCode::INSUFFICIENT_STORAGE;
     }
-    inner.kv.insert(
-        id,
-        Held {
-            holding,
-            since: Instant::now(),
-        },
-    );
+    inner.kv.insert(id, Held { holding, since: Instant::now() });
     StatusCode::CREATED
 }
 
@@ -615,9 +556,7 @@
         return (StatusCode::CONFLICT, Json(json!({"fencing": inner.fencing}))).into_response();
     }
     inner.fencing = inner.fencing.max(order.fencing);
-    inner
-        .orders
-        .push(json!({"fencing": order.fencing, "order": order.order}));
+    inner.orders.push(json!({"fencing": order.fencing, "order": order.order}));
     StatusCode::ACCEPTED.into_response()
 }
 
--- a/chestnutstage_fakes/src/engine.rs
+++ b/chestnutstage_fakes/src/engine.rs
@@ -117,21 +117,13 @@
     /// Load as its capacity counts it.
     pub fn load(&self) -> Load {
         let tokens = self.running.values().map(|r| r.left.min(32_768)).sum();
-        Load {
-            requests: self.running.len() as u32,
-            tokens: Tokens(tokens),
-        }
+        Load { requests: self.running.len() as u32, tokens: Tokens(tokens) }
     }
 
     /// What it says of itself.
     pub fn report(&self) -> Report {
         let held = self.running.values().map(|r| r.job.prompt + r.job.output).sum();
-        Report {
-            boot: self.boot,
-            cold: self.is_cold(),
-            running: self.running.len() as u32,
-            held,
-        }
+        Report { boot: self.boot, cold: self.is_cold(), running: self.running.len() as u32, held }
     }
 
     /// Turns cold without notice.
@@ -149,22 +141,11 @@
 
     /// Takes a request; tells whether it went beyond the cold capacity.
     pub fn submit(&mut self, job: Job) -> bool {
-        let cached = job
-            .prefix
-            .map_or(0, |p| self.touch(p, job.prompt.0))
-            .min(job.prompt.0.saturating_sub(1));
+        let cached =
+            job.prefix.map_or(0, |p| self.touch(p, job.prompt.0)).min(job.prompt.0.saturating_sub(1));
         let left = job.prompt.0 - cached;
         self.order += 1;
-        self.running.insert(
-            job.id,
-            Running {
-                job,
-                left,
-                cached,
-                made: 0,
-                order: self.order,
-            },
-        );
+        self.running.insert(job.id, Running { job, left, cached, made: 0, order: self.order });
         let bound = self.endpoint.capacity.cold;
         let beyond = self.is_cold() && !Load::default().fits(self.load(), bound);
         self.excess += u64::from(beyond);
@@ -183,11 +164,7 @@
 
     /// Runs one iteration: how long it takes, and what stands at its end.
     pub fn iterate(&mut self) -> (Duration, Vec<Made>) {
-        let mut order: Vec<_> = self
-            .running
-            .values()
-            .map(|r| (r.job.priority, r.order, r.job.id))
-            .collect();
+        let mut order: Vec<_> = self.running.values().map(|r| (r.job.priority, r.order, r.job.id)).collect();
         order.sort_unstable();
         let mut budget = CHUNK;
         let mut made = Vec::new();
@@ -207,12 +184,7 @@
                 decodes += 1;
             }
             let last = running.made + 1 >= running.job.output.0;
-            made.push(Made::Token {
-                id,
-                offset: running.made,
-                cached: running.cached,
-                last,
-            });
+            made.push(Made::Token { id, offset: running.made, cached: running.cached, last });
             running.made += 1;
             if last {
                 self.running.remove(&id);
@@ -220,22 +192,14 @@
         }
         let prefilled = CHUNK - budget;
         let work = self.endpoint.speed.prefill(Tokens(prefilled)) + ITERATION + DECODE * decodes;
-        let took = if self.is_cold() {
-            work * COLD_SLOWDOWN
-        } else {
-            work
-        };
+        let took = if self.is_cold() { work * COLD_SLOWDOWN } else { work };
         self.cold = self.cold.saturating_sub(prefilled + made.len() as u64 * 16);
         (took, made)
     }
 
     /// Looks a prefix up and keeps it; gives the tokens that were there.
     fn touch(&mut self, prefix: u64, tokens: u64) -> u64 {
-        let found = self
-            .cache
-            .iter()
-            .position(|(p, _)| *p == prefix)
-            .and_then(|i| self.cache.remove(i));
+        let found = self.cache.iter().position(|(p, _)| *p == prefix).and_then(|i| self.cache.remove(i));
         if self.cache.len() >= CACHE_SIZE {
             self.cache.pop_front();
         }
--- a/chestnutstage_fakes/src/load.rs
+++ b/chestnutstage_fakes/src/load.rs
@@ -146,10 +146,7 @@
 impl Bookings {
     /// Compares the answers with `runs`, the number of runs of each booking.
     pub fn audit(&self, runs: &BTreeMap<String, u32>) -> Audit {
-        let mut audit = Audit {
-            asked: self.answers.len(),
-            ..Audit::default()
-        };
+        let mut audit = Audit { asked: self.answers.len(), ..Audit::default() };
         for (booking, answers) in &self.answers {
             let count = runs.get(booking).copied().unwrap_or(0);
             let said = |what: &str| answers.iter().any(|a| a == what);
@@ -196,13 +193,7 @@
     pub fn new(world: World) -> Result<Self, String> {
         let client = Client::builder().no_proxy().build().map_err(|e| e.to_string())?;
         let filler = "cast ".repeat(1_000_000).into();
-        Ok(Self {
-            world: Arc::new(world),
-            client,
-            filler,
-            results: Arc::default(),
-            bookings: Arc::default(),
-        })
+        Ok(Self { world: Arc::new(world), client, filler, results: Arc::default(), bookings: Arc::default() })
     }
 
     /// Runs one phase and waits for all its answers.
@@ -222,14 +213,9 @@
                 next += gap(&mut rng, phase.rate);
             } else {
                 let (url, key) = (self.url(&mut rng), self.key(&mut rng));
-                let (name, again) = (
-                    format!("{seed}-{:016x}", rng.random::<u64>()),
-                    rng.random_bool(0.2),
-                );
+                let (name, again) = (format!("{seed}-{:016x}", rng.random::<u64>()), rng.random_bool(0.2));
                 let driver = self.clone();
-                tasks.push(tokio::spawn(
-                    async move { driver.book(url, key, name, again).await },
-                ));
+                tasks.push(tokio::spawn(async move { driver.book(url, key, name, again).await }));
                 booking += gap(&mut rng, phase.bookings);
             }
         }
@@ -242,12 +228,7 @@
     /// Compares all bookings so far with what the services ran.
     pub async fn audit(&self) -> Audit {
         let mut runs = BTreeMap::<String, u32>::new();
-        let services = self
-            .world
-            .listing
-            .endpoints
-            .iter()
-            .filter(|e| e.models[0].as_str() == SERVICE);
+        let services = self.world.listing.endpoints.iter().filter(|e| e.models[0].as_str() == SERVICE);
         for service in services {
             let url = format!("http://{}/admin/runs", service.address);
             if let Ok(response) = self.client.get(url).send().await {
@@ -263,13 +244,7 @@
     /// Sum of a figure over all engines' statistics.
     pub async fn engine_stat(&self, name: &str) -> u64 {
         let mut sum = 0;
-        for engine in self
-            .world
-            .listing
-            .endpoints
-            .iter()
-            .filter(|e| e.models[0].as_str() == MODEL)
-        {
+        for engine in self.world.listing.endpoints.iter().filter(|e| e.models[0].as_str() == MODEL) {
             let url = format!("http://{}/admin/stats", engine.address);
             let Ok(response) = self.client.get(url).send().await else {
                 continue;
@@ -288,11 +263,7 @@
     fn key(&self, rng: &mut StdRng) -> String {
         let keys: Vec<_> = self.world.customers.values().collect();
         // A few customers are large: the first one makes a third of all requests.
-        if rng.random_bool(0.33) {
-            keys[0].clone()
-        } else {
-            keys[rng.random_range(0..keys.len())].clone()
-        }
+        if rng.random_bool(0.33) { keys[0].clone() } else { keys[rng.random_range(0..keys.len())].clone() }
     }
 
     fn wish(&self, rng: &mut StdRng, long: bool) -> Wish {
@@ -315,10 +286,7 @@
             Ok(count) => {
                 let mut results = lock(&self.results);
                 results.broken += 1;
-                *results
-                    .failures
-                    .entry(format!("cut: {count} of {output} pieces"))
-                    .or_default() += 1;
+                *results.failures.entry(format!("cut: {count} of {output} pieces")).or_default() += 1;
             }
             Err((code, broken)) => {
                 let mut results = lock(&self.results);
@@ -339,18 +307,13 @@
         });
         let asked = Instant::now();
         let request = self.client.post(format!("{}/v1/chat/completions", wish.url));
-        let request = request
-            .bearer_auth(&wish.key)
-            .header("x-request-timeout-ms", TIMEOUT_MS);
+        let request = request.bearer_auth(&wish.key).header("x-request-timeout-ms", TIMEOUT_MS);
         let response = request.json(&body).send().await;
         let response = response.map_err(|e| (format!("connection: {}", root(&e)), true))?;
         if !response.status().is_success() {
             let body: Value = response.json().await.unwrap_or_default();
             let code = body["error"]["code"].as_str().unwrap_or("no code").to_owned();
-            let outcome = body["error"]["outcome"]
-                .as_str()
-                .unwrap_or("no outcome")
-                .to_owned();
+            let outcome = body["error"]["outcome"].as_str().unwrap_or("no outcome").to_owned();
             return Err((format!("{code} ({outcome})"), outcome != "not_run"));
         }
         let mut stream = response.bytes_stream();
@@ -386,11 +349,7 @@
         match last {
             None => {
                 let millis = asked.elapsed().as_millis() as u64;
-                results
-                    .first
-                    .entry(band)
-                    .or_insert_with(histogram)
-                    .saturating_record(millis);
+                results.first.entry(band).or_insert_with(histogram).saturating_record(millis);
             }
             Some(last) => results.gaps.saturating_record(last.elapsed().as_millis() as u64),
         }
@@ -409,11 +368,7 @@
                 }
                 Err(_) => "unknown".to_owned(),
             };
-            lock(&self.bookings)
-                .answers
-                .entry(name.clone())
-                .or_default()
-                .push(said);
+            lock(&self.bookings).answers.entry(name.clone()).or_default().push(said);
         }
     }
 }
--- a/chestnutstage_fakes/src/main.rs
+++ b/chestnutstage_fakes/src/main.rs
@@ -103,21 +103,9 @@
 
 async fn run(command: Command) -> Result<(), String> {
     match command {
-        Command::World {
-            out,
-            instances,
-            engines,
-            port,
-        } => {
+        Command::World { out, instances, engines, roomy, port } => {
             let zones = ["a", "b", "c"].map(str::to_owned).to_vec();
-            let plan = Plan {
-                zones,
-                instances,
-                engines,
-                services: 3,
-                customers: 10,
-                port,
-            };
+            let plan = Plan { zones, instances, engines, services: 3, customers: 10, port };
             let mut world = World::new(&plan);
             if roomy {
                 world.widen();
@@ -149,9 +137,7 @@
                 engines.push(fake.map_err(|e| bind(&address, e))?);
             }
             Kind::Service => {
-                ServiceFake::spawn(&address)
-                    .await
-                    .map_err(|e| bind(&address, e))?;
+                ServiceFake::spawn(&address).await.map_err(|e| bind(&address, e))?;
             }
         }
     }
--- a/chestnutstage_fakes/src/platform.rs
+++ b/chestnutstage_fakes/src/platform.rs
@@ -96,14 +96,8 @@
     /// The address can't be bound.
     pub async fn spawn(address: &str, listing: Listing) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        let inner = Inner {
-            listing,
-            ..Inner::default()
-        };
-        let fake = Self {
-            inner: Arc::new(Mutex::new(inner)),
-            address: listener.local_addr()?,
-        };
+        let inner = Inner { listing, ..Inner::default() };
+        let fake = Self { inner: Arc::new(Mutex::new(inner)), address: listener.local_addr()? };
         let router = fake.router();
         tokio::spawn(async move { axum::serve(listener, router).await });
         Ok(fake)
@@ -213,14 +207,7 @@
     if version != write.expect {
         return json!({"ok": false, "current": current.map(shown)});
     }
-    rows.insert(
-        write.key,
-        Row {
-            version: version + 1,
-            value: write.value,
-            at: Instant::now(),
-        },
-    );
+    rows.insert(write.key, Row { version: version + 1, value: write.value, at: Instant::now() });
     json!({"ok": true, "version": version + 1})
 }
 
@@ -287,9 +274,7 @@
 async fn weights(State(fake): State<PlatformFake>, Path(model): Path<String>) -> Response {
     let mut inner = fake.lock();
     let now = Instant::now();
-    inner
-        .loads
-        .retain(|t| now.duration_since(*t) < Duration::from_secs(1));
+    inner.loads.retain(|t| now.duration_since(*t) < Duration::from_secs(1));
     if inner.loads.len() >= WEIGHT_RATE {
         return (StatusCode::TOO_MANY_REQUESTS, [("retry-after", "1")]).into_response();
     }
--- a/chestnutstage_fakes/src/probe.rs
+++ b/chestnutstage_fakes/src/probe.rs
@@ -38,11 +38,7 @@
         return Err(response.text().await.unwrap_or_default());
     }
     let mut stream = response.bytes_stream();
-    stream
-        .next()
-        .await
-        .ok_or("no piece")?
-        .map_err(|e| e.to_string())?;
+    stream.next().await.ok_or("no piece")?.map_err(|e| e.to_string())?;
     let first = asked.elapsed();
     while stream.next().await.is_some() {}
     Ok(first)
@@ -60,12 +56,7 @@
 /// A request failed, or the bound is crossed.
 pub async fn overhead(world: &World) -> Result<(), String> {
     let client = Client::builder().no_proxy().build().map_err(|e| e.to_string())?;
-    let engines: Vec<_> = world
-        .listing
-        .endpoints
-        .iter()
-        .filter(|e| e.models[0].as_str() == MODEL)
-        .collect();
+    let engines: Vec<_> = world.listing.endpoints.iter().filter(|e| e.models[0].as_str() == MODEL).collect();
     let urls: Vec<_> = world.callers.values().collect();
     let key = world.customers.values().next().ok_or("no customer")?;
     let (mut direct, mut through) = (Vec::new(), Vec::new());
@@ -130,15 +121,7 @@
 fn memory(pid: u32) -> Result<u64, String> {
     let path = format!("/proc/{pid}/status");
     let text = std::fs::read_to_string(&path).map_err(|e| format!("read of {path}: {e}"))?;
-    let line = text
-        .lines()
-        .find_map(|l| l.strip_prefix("VmHWM:"))
-        .ok_or("no VmHWM")?;
-    let kib: u64 = line
-        .trim()
-        .trim_end_matches("kB")
-        .trim()
-        .parse()
-        .map_err(|_| "malformed VmHWM")?;
+    let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:")).ok_or("no VmHWM")?;
+    let kib: u64 = line.trim().trim_end_matches("kB").trim().parse().map_err(|_| "malformed VmHWM")?;
     Ok(kib * 1_024)
 }
--- a/chestnutstage_fakes/src/service.rs
+++ b/chestnutstage_fakes/src/service.rs
@@ -47,10 +47,7 @@
     /// The address can't be bound.
     pub async fn spawn(address: &str) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        let fake = Self {
-            inner: Arc::default(),
-            address: listener.local_addr()?,
-        };
+        let fake = Self { inner: Arc::default(), address: listener.local_addr()? };
         let router = Router::new()
             .route("/bookings", post(book))
             .route("/stock", get(stock))
@@ -90,11 +87,7 @@
 async fn book(State(fake): State<ServiceFake>, Json(body): Json<Booking>) -> Response {
     let fault = fake.lock().fault;
     if fault == Some(Fault::Refuse) {
-        return (
-            StatusCode::SERVICE_UNAVAILABLE,
-            Json(json!({"outcome": "not_run"})),
-        )
-            .into_response();
+        return (StatusCode::SERVICE_UNAVAILABLE, Json(json!({"outcome": "not_run"}))).into_response();
     }
     *fake.lock().runs.entry(body.booking.clone()).or_default() += 1;
     if fault == Some(Fault::Mute) {
--- a/chestnutstage_fakes/src/world.rs
+++ b/chestnutstage_fakes/src/world.rs
@@ -62,19 +62,10 @@
         kind: Kind::Engine,
         models: vec![MODEL.into()],
         capacity: Capacity {
-            cold: Load {
-                requests: 2,
-                tokens: Tokens(16_000),
-            },
-            warm: Load {
-                requests: 48,
-                tokens: Tokens(120_000),
-            },
-        },
-        speed: Speed {
-            prefill: 60_000,
-            step: 20_000,
+            cold: Load { requests: 2, tokens: Tokens(16_000) },
+            warm: Load { requests: 48, tokens: Tokens(120_000) },
         },
+        speed: Speed { prefill: 60_000, step: 20_000 },
         memory: MEMORY,
         fenced: true,
         leaving: false,
@@ -83,24 +74,15 @@
 
 /// Listing of a replica of the plain service.
 pub fn service(id: &str, zone: &str, address: &str) -> Endpoint {
-    let load = Load {
-        requests: 64,
-        tokens: Tokens(64),
-    };
+    let load = Load { requests: 64, tokens: Tokens(64) };
     Endpoint {
         id: id.into(),
         zone: zone.into(),
         address: address.to_owned(),
         kind: Kind::Service,
         models: vec![SERVICE.into()],
-        capacity: Capacity {
-            cold: load,
-            warm: load,
-        },
-        speed: Speed {
-            prefill: 1_000,
-            step: 1_000,
-        },
+        capacity: Capacity { cold: load, warm: load },
+        speed: Speed { prefill: 1_000, step: 1_000 },
         memory: Tokens(1_000_000),
         fenced: false,
         leaving: false,
@@ -109,27 +91,13 @@
 
 /// Defaults and customers of a deployment, as changes for its operators to make.
 pub fn first_changes(customers: &BTreeMap<String, String>, rate: u64) -> Vec<Change> {
-    let contract = Contract {
-        rate,
-        ..Contract::default()
-    };
+    let contract = Contract { rate, ..Contract::default() };
     let services = BTreeMap::from([(SERVICE.into(), ServiceRule { repeatable: false })]);
-    let defaults = Defaults {
-        contract,
-        services,
-        ..Defaults::default()
-    };
+    let defaults = Defaults { contract, services, ..Defaults::default() };
     let put = |(name, key): (&String, &String)| {
-        Change::PutCustomer(
-            name.as_str().into(),
-            Customer {
-                key: KeyHash::of(key),
-            },
-        )
+        Change::PutCustomer(name.as_str().into(), Customer { key: KeyHash::of(key) })
     };
-    std::iter::once(Change::SetDefaults(defaults))
-        .chain(customers.iter().map(put))
-        .collect()
+    std::iter::once(Change::SetDefaults(defaults)).chain(customers.iter().map(put)).collect()
 }
 
 impl World {
@@ -148,55 +116,25 @@
             let id = format!("i{}", i + 1);
             callers.insert(id.clone(), format!("http://{}", next()));
             if let Ok(peer) = next().parse() {
-                listing.instances.push(Listed {
-                    id,
-                    peer,
-                    zone: zone(i),
-                    leaving: false,
-                });
+                listing.instances.push(Listed { id, peer, zone: zone(i), leaving: false });
             }
         }
         for i in 0..plan.engines {
-            listing
-                .endpoints
-                .push(engine(&format!("e{}", i + 1), &zone(i), &next()));
+            listing.endpoints.push(engine(&format!("e{}", i + 1), &zone(i), &next()));
         }
         for i in 0..plan.services {
-            listing
-                .endpoints
-                .push(service(&format!("s{}", i + 1), &zone(i), &next()));
-        }
-        let customers = (1..=plan.customers)
-            .map(|i| (format!("c{i}"), format!("key-of-c{i}")))
-            .collect();
-        let operators = ["north", "south"]
-            .map(|o| (o.to_owned(), format!("token-of-{o}")))
-            .into();
-        Self {
-            platform,
-            callers,
-            customers,
-            operators,
-            listing,
+            listing.endpoints.push(service(&format!("s{}", i + 1), &zone(i), &next()));
         }
+        let customers = (1..=plan.customers).map(|i| (format!("c{i}"), format!("key-of-c{i}"))).collect();
+        let operators = ["north", "south"].map(|o| (o.to_owned(), format!("token-of-{o}"))).into();
+        Self { platform, callers, customers, operators, listing }
     }
 
     /// Lets engines take very many requests at once, for measurements of the instances alone.
     pub fn widen(&mut self) {
-        let load = Load {
-            requests: 400,
-            tokens: Tokens(10_000_000),
-        };
-        for engine in self
-            .listing
-            .endpoints
-            .iter_mut()
-            .filter(|e| e.kind == Kind::Engine)
-        {
-            engine.capacity = Capacity {
-                cold: load,
-                warm: load,
-            };
+        let load = Load { requests: 400, tokens: Tokens(10_000_000) };
+        for engine in self.listing.endpoints.iter_mut().filter(|e| e.kind == Kind::Engine) {
+            engine.capacity = Capacity { cold: load, warm: load };
         }
     }
 
@@ -221,15 +159,9 @@
             fs::write(&path, text).map_err(|e| format!("write of {}: {e}", path.display()))
         };
         fs::create_dir_all(folder).map_err(|e| format!("creation of {}: {e}", folder.display()))?;
-        write(
-            folder.join("world.toml"),
-            toml::to_string(self).map_err(|e| e.to_string())?,
-        )?;
+        write(folder.join("world.toml"), toml::to_string(self).map_err(|e| e.to_string())?)?;
         for instance in &self.listing.instances {
-            write(
-                folder.join(format!("{}.toml", instance.id)),
-                self.settings(instance),
-            )?;
+            write(folder.join(format!("{}.toml", instance.id)), self.settings(instance))?;
         }
         Ok(())
     }
