--- a/chestnutstage/benches/service/baseline.rs
+++ b/chestnutstage/benches/service/baseline.rs
@@ -73,22 +73,9 @@
         let priority = if self.choice == Choice::Prioritised { class.priority() } else { 0 };
         let job = Job { id, priority, prompt: Tokens(prompt as u64), output: Tokens(output), prefix: None };
         let mut pieces = engine.submit(job);
-        let mut served = Served {
-            prompt,
-            first: None,
-            gaps: Vec::new(),
-            took: Duration::ZERO,
-            failure: Some("cut".into()),
-        };
-        let mut last = asked;
+        let mut served = Served::new(prompt, asked);
         while let Some(Ok(piece)) = pieces.recv().await {
-            let now = Instant::now();
-            if served.first.is_none() {
-                served.first = Some(now - asked);
-            } else {
-                served.gaps.push(now - last);
-            }
-            last = now;
+            served.token();
             if piece.piece.last {
                 served.failure = None;
                 break;
--- a/chestnutstage/benches/service/fleet.rs
+++ b/chestnutstage/benches/service/fleet.rs
@@ -139,6 +139,26 @@
     pub(crate) took: Duration,
     /// Code of the failure, if there was one.
     pub(crate) failure: Option<String>,
+    asked: Instant,
+    last: Instant,
+}
+
+impl Served {
+    pub(crate) fn new(prompt: usize, asked: Instant) -> Self {
+        let failure = Some("cut".into());
+        Self { prompt, first: None, gaps: Vec::new(), took: Duration::ZERO, failure, asked, last: asked }
+    }
+
+    /// Takes in a token that came now.
+    pub(crate) fn token(&mut self) {
+        let now = Instant::now();
+        if self.first.is_none() {
+            self.first = Some(now - self.asked);
+        } else {
+            self.gaps.push(now - self.last);
+        }
+        self.last = now;
+    }
 }
 
 fn listing(deployment: &Deployment) -> Listing {
@@ -276,14 +296,7 @@
         let response = self.routers[i].clone().oneshot(request).await.expect("infallible");
         let ok = response.status().is_success();
         let mut stream = response.into_body().into_data_stream();
-        let mut served = Served {
-            prompt,
-            first: None,
-            gaps: Vec::new(),
-            took: Duration::ZERO,
-            failure: Some("cut".into()),
-        };
-        let mut last = asked;
+        let mut served = Served::new(prompt, asked);
         while let Some(Ok(part)) = stream.next().await {
             let text = String::from_utf8_lossy(&part);
             if text.contains("\"error\"") || !ok {
@@ -295,13 +308,7 @@
                 served.failure = None;
                 break;
             }
-            let now = Instant::now();
-            if served.first.is_none() {
-                served.first = Some(now - asked);
-            } else {
-                served.gaps.push(now - last);
-            }
-            last = now;
+            served.token();
         }
         served.took = asked.elapsed();
         served
--- a/chestnutstage/src/caller/chat.rs
+++ b/chestnutstage/src/caller/chat.rs
@@ -39,8 +39,8 @@
     stream: bool,
     #[serde(default)]
     max_tokens: Option<u64>,
-    #[serde(default)]
-    max_completion_tokens: Option<u64>,
+    #[serde(default, rename = "max_completion_tokens")]
+    completion_tokens: Option<u64>,
     #[serde(default)]
     messages: Vec<Message>,
     #[serde(default)]
@@ -169,7 +169,7 @@
             return Err(wrong("prompt is missing or empty".into()));
         }
     }
-    let output = wish.max_completion_tokens.or(wish.max_tokens).unwrap_or(OUTPUT_DEFAULT);
+    let output = wish.completion_tokens.or(wish.max_tokens).unwrap_or(OUTPUT_DEFAULT);
     if output == 0 || output > OUTPUT_MAX {
         return Err(wrong(format!("max_tokens must lie between 1 and {OUTPUT_MAX}")));
     }
--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod contract;
 pub mod endpoint;
 pub mod explain;
+pub mod grant;
 pub mod holding;
 pub mod ids;
 pub mod inforce;
--- a/chestnutstage_core/src/members.rs
+++ b/chestnutstage_core/src/members.rs
@@ -6,8 +6,8 @@
 //! answers. A member that does not answer directly or through others is suspected; it has the suspicion time to refute
 //! with a higher incarnation before it counts as dead.
 
+use core::net::SocketAddr;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::Display;
--- a/chestnutstage_core/src/owner.rs
+++ b/chestnutstage_core/src/owner/mod.rs
@@ -7,14 +7,17 @@
 //! A grant is only good for a short time ([`GRANT_LIFE`]), measured at the entry from before it asked: an entry that
 //! was paused can't start work on an old grant.
 
+mod estimate;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use crate::affinity::Affinity;
-use crate::endpoint::{Endpoint, Report, Size};
-use crate::ids::{BootId, CustomerId, EndpointId, ModelId, Ticket, ZoneId};
+use crate::endpoint::{Endpoint, Report};
+pub use crate::grant::{Action, Ask, Cause, End, GRANT_LIFE, Limits, Summary};
+use crate::ids::{BootId, EndpointId, ModelId, Ticket, ZoneId};
 use crate::length::{Class, Tokens};
 use crate::mix::Mix;
 use crate::outcome::Refusal;
@@ -23,133 +26,11 @@
 use crate::time::Time;
 use crate::window::{Load, Pace, Share};
 
-/// How long after asking an entry may start work on a grant.
-pub const GRANT_LIFE: Duration = Duration::from_secs(1);
 /// Shortest delay after which a caller is told to come back.
 const RETRY_MIN: Duration = Duration::from_secs(1);
-/// Longest delay after which a caller is told to come back.
-const RETRY_MAX: Duration = Duration::from_secs(30);
-/// A typical short request.
-const TYPICAL: Size = Size { prompt: Tokens(2_000), output: Tokens(0) };
-/// Wait assumed while every window is too small for a request.
-const WINDOW_WAIT: Duration = Duration::from_secs(5);
 /// Time past its deadline after which a request that its entry never ended is taken off the books.
 const ORPHAN_GRACE: Duration = Duration::from_secs(5);
 
-/// Bounds on work by class.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Limits {
-    /// Long prompts on one endpoint at a time.
-    pub long: u32,
-    /// Part of the endpoints kept free of long work, at the least.
-    pub reserve: f64,
-    /// Seconds of queue that a cached prefix may be worth, at the most.
-    pub affinity: f64,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self { long: 1, reserve: 0.2, affinity: 0.5 }
-    }
-}
-
-/// A request for an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ask {
-    /// The attempt.
-    pub ticket: Ticket,
-    /// Who asks.
-    pub customer: CustomerId,
-    /// Weight of the customer's contract.
-    pub weight: u32,
-    /// Model, or plain service.
-    pub model: ModelId,
-    /// Size of the request.
-    pub size: Size,
-    /// Hash of the prompt's first part.
-    pub prefix: Option<u64>,
-    /// Whether to queue when nothing is free.
-    pub patient: bool,
-    /// Endpoints that failed this request before.
-    pub avoid: Vec<EndpointId>,
-}
-
-/// Why a grant was taken back.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
-pub enum Cause {
-    /// The endpoint restarted.
-    #[display("the endpoint restarted")]
-    Rebooted,
-    /// The endpoint turned cold.
-    #[display("the endpoint turned cold")]
-    Cold,
-}
-
-/// What an owner does about an event.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Let the entry use the endpoint.
-    Grant {
-        /// The attempt that gets it.
-        ticket: Ticket,
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// Its availability zone.
-        zone: ZoneId,
-        /// Its IP number and port.
-        address: String,
-        /// How long the attempt waited here; the grant's life starts after it.
-        waited: Duration,
-    },
-    /// Refuse at once.
-    Refuse {
-        /// The attempt that is refused.
-        ticket: Ticket,
-        /// Why.
-        refusal: Refusal,
-    },
-    /// Take a grant back; the entry cancels at the endpoint and asks again.
-    Recall {
-        /// The attempt.
-        ticket: Ticket,
-        /// The endpoint that it must leave.
-        endpoint: EndpointId,
-        /// Why.
-        cause: Cause,
-    },
-    /// Read the endpoint's load report now; nothing is granted on it before.
-    Probe {
-        /// The endpoint.
-        endpoint: EndpointId,
-    },
-    /// Note that a window was closed to cold capacity.
-    Reset {
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// Why.
-        cause: Cause,
-    },
-}
-
-/// How a granted request ended at its endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum End {
-    /// Normally, or by the caller's wish.
-    Done,
-    /// The endpoint broke the connection or refused it.
-    Broken,
-}
-
-/// Room of one owner for one model.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct Summary {
-    /// Requests that could start at once.
-    pub free: u32,
-    /// Expected time to the first token of a typical short request.
-    pub wait: Duration,
-}
-
 #[derive(Debug)]
 struct Waiting {
     ask: Ask,
@@ -424,73 +305,12 @@
         self.queues.values().filter_map(super::queue::Queue::earliest).map(|(at, _)| at).min()
     }
 
-    /// Room for `model`, as told to entries.
-    pub fn summary(&self, model: &ModelId) -> Summary {
-        let free = |s: &Slots| self.share_of(s).saturating_sub(s.load().requests);
-        let open: Vec<_> = self.serving(model).filter(|s| free(s) > 0).collect();
-        let soonest = open.iter().map(|s| s.first_token(TYPICAL, Tokens(0))).min().unwrap_or_default();
-        let wait = self.wait(model, Class::Short) + soonest;
-        Summary { free: open.into_iter().map(free).sum(), wait }
-    }
-
-    /// Requests that an endpoint may run at a time.
-    fn share_of(&self, slots: &Slots) -> u32 {
-        slots.window.limit(self.share).requests
-    }
-
     fn serving<'a>(&'a self, model: &'a ModelId) -> impl Iterator<Item = &'a Slots> {
         self.slots.values().filter(move |s| {
             s.service == Service::In && !s.endpoint.leaving && s.endpoint.models.contains(model)
         })
     }
 
-    /// Checks that a request can finish within its deadline.
-    fn admit(&self, now: Time, ask: &Ask, deadline: Time) -> Result<(), Refusal> {
-        let fastest = self.serving(&ask.model).map(|s| s.whole(ask.size, Tokens(0))).min();
-        let Some(service) = fastest else {
-            return Err(Refusal::NoEndpoint { retry: RETRY_MIN });
-        };
-        if self.serving(&ask.model).all(|s| ask.size.memory() > s.endpoint.memory) {
-            return Err(Refusal::TooLong);
-        }
-        let wait = self.wait(&ask.model, ask.size.class());
-        let estimate = wait + service;
-        let remaining = deadline.since(now);
-        if estimate > remaining {
-            let retry = (estimate.saturating_sub(remaining)).clamp(RETRY_MIN, RETRY_MAX);
-            return Err(Refusal::Overloaded { estimate, remaining, retry });
-        }
-        Ok(())
-    }
-
-    /// Expected wait of a new request of `class` before it gets an endpoint.
-    fn wait(&self, model: &ModelId, class: Class) -> Duration {
-        let Some(queue) = self.queues.get(model) else {
-            return Duration::ZERO;
-        };
-        let ahead = queue.len_ahead(class);
-        if ahead == 0 {
-            return Duration::ZERO;
-        }
-        let (mut speed, mut slots) = (0.0, 0_u32);
-        for s in self.serving(model) {
-            speed += f64::from(s.endpoint.speed.prefill);
-            slots += s.window.limit(self.share).requests;
-        }
-        let prefill = queue.cost_ahead(class).as_f64() / speed.max(1.0);
-        let turns = self.usual.as_secs_f64() * (ahead as f64) / f64::from(slots.max(1));
-        Duration::from_secs_f64(prefill.max(turns).min(3_600.0))
-    }
-
-    /// Expected wait of a request that finds nothing free.
-    fn busy_wait(&self, ask: &Ask) -> Duration {
-        let wait = self.wait(&ask.model, ask.size.class());
-        let possible = self.serving(&ask.model).any(|s| s.could_accept(ask.size, self.share));
-        let slots: u32 = self.serving(&ask.model).map(|s| s.window.limit(self.share).requests).sum();
-        let turn = self.usual / slots.max(1);
-        if possible { wait + turn } else { wait + WINDOW_WAIT }
-    }
-
     /// The endpoint on which `ask` would start soonest, of those that accept it now.
     fn best(&self, now: Time, ask: &Ask) -> Option<EndpointId> {
         let class = ask.size.class();
@@ -609,14 +429,6 @@
         }
     }
 
-    fn shortest(&self, waiting: &Waiting) -> Duration {
-        let whole = |s: &Slots| {
-            s.endpoint.speed.prefill(waiting.ask.size.prompt)
-                + s.endpoint.speed.decode(waiting.ask.size.output)
-        };
-        self.serving(&waiting.ask.model).map(whole).min().unwrap_or_default()
-    }
-
     /// Drops grants whose entry died: past their deadline the endpoint has stopped them.
     fn forget_orphans(&mut self, now: Time) {
         for slots in self.slots.values_mut() {
--- /dev/null
+++ b/chestnutstage_fakes/src/endpoint/control.rs
@@ -0,0 +1,43 @@
+//! Orders to the engine, and the routes that bring about failures.
+
+use axum::Json;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::{EndpointFake, Fault};
+
+/// An order to the engine.
+#[derive(Debug, Deserialize)]
+pub(super) struct Order {
+    fencing: u64,
+    order: Value,
+}
+
+pub(super) async fn order(State(fake): State<EndpointFake>, Json(order): Json<Order>) -> Response {
+    let mut inner = fake.lock();
+    if inner.engine.endpoint().fenced && order.fencing < inner.fencing {
+        return (StatusCode::CONFLICT, Json(json!({"fencing": inner.fencing}))).into_response();
+    }
+    inner.fencing = inner.fencing.max(order.fencing);
+    inner.orders.push(json!({"fencing": order.fencing, "order": order.order}));
+    StatusCode::ACCEPTED.into_response()
+}
+
+pub(super) async fn fault(State(fake): State<EndpointFake>, Json(fault): Json<Fault>) -> StatusCode {
+    fake.fail(fault);
+    StatusCode::NO_CONTENT
+}
+
+pub(super) async fn stats(State(fake): State<EndpointFake>) -> Json<Value> {
+    let inner = fake.lock();
+    Json(json!({
+        "submitted": inner.submitted,
+        "excess": inner.engine.excess,
+        "running": inner.engine.running().count(),
+        "holdings": inner.kv.len(),
+        "cold": inner.engine.is_cold(),
+    }))
+}
--- a/chestnutstage_fakes/src/endpoint.rs
+++ b/chestnutstage_fakes/src/endpoint/mod.rs
@@ -4,6 +4,9 @@
 //! and cancel by request id, load reports, KV reservations, and orders with fencing numbers. Its control routes under
 //! `/admin` bring about the failures that tests and the demo need.
 
+mod control;
+mod memory;
+
 use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -27,6 +30,8 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
 
+use self::memory::Held;
+pub use self::memory::Holding;
 use crate::engine::{Engine, Job, Made};
 
 /// Time for which a stream without a reader waits to be resumed.
@@ -76,27 +81,6 @@
     broken: bool,
 }
 
-/// Memory reserved on the engine.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Holding {
-    /// Tokens held.
-    pub tokens: u64,
-    /// Tokens prefilled into it.
-    #[serde(default)]
-    pub filled: u64,
-    /// Milliseconds for which it was asked.
-    pub ttl: u64,
-    /// Milliseconds since it was made.
-    #[serde(default)]
-    pub age: u64,
-}
-
-#[derive(Debug)]
-struct Held {
-    holding: Holding,
-    since: Instant,
-}
-
 #[derive(Debug)]
 struct Inner {
     engine: Engine,
@@ -211,13 +195,13 @@
             .route("/v1/completions", post(complete))
             .route("/v1/streams/{id}", get(resume).delete(cancel))
             .route("/load", get(load))
-            .route("/kv", get(list_kv))
-            .route("/kv/{id}", put(reserve_kv))
-            .route("/kv/{id}", delete(free_kv))
-            .route("/kv/{id}/prefill", post(prefill_kv))
-            .route("/orders", post(order))
-            .route("/admin/fault", post(fault))
-            .route("/admin/stats", get(stats))
+            .route("/kv", get(memory::list))
+            .route("/kv/{id}", put(memory::reserve))
+            .route("/kv/{id}", delete(memory::free))
+            .route("/kv/{id}/prefill", post(memory::prefill))
+            .route("/orders", post(control::order))
+            .route("/admin/fault", post(control::fault))
+            .route("/admin/stats", get(control::stats))
             .layer(DefaultBodyLimit::max(BODY_MAX))
             .with_state(self.clone())
     }
@@ -489,89 +473,3 @@
     }
     Json(inner.engine.report()).into_response()
 }
-
-async fn list_kv(State(fake): State<EndpointFake>) -> Json<BTreeMap<String, Holding>> {
-    let mut inner = fake.lock();
-    inner.sweep();
-    let aged = |h: &Held| Holding { age: h.since.elapsed().as_millis() as u64, ..h.holding.clone() };
-    Json(inner.kv.iter().map(|(id, h)| (id.clone(), aged(h))).collect())
-}
-
-async fn reserve_kv(
-    State(fake): State<EndpointFake>,
-    Path(id): Path<String>,
-    Json(holding): Json<Holding>,
-) -> StatusCode {
-    let mut inner = fake.lock();
-    inner.sweep();
-    if inner.kv.contains_key(&id) {
-        return StatusCode::OK;
-    }
-    let held: u64 = inner.kv.values().map(|h| h.holding.tokens).sum();
-    let used = held + inner.engine.report().held.0;
-    if used + holding.tokens > inner.engine.endpoint().memory.0 {
-        return StatusCode::INSUFFICIENT_STORAGE;
-    }
-    inner.kv.insert(id, Held { holding, since: Instant::now() });
-    StatusCode::CREATED
-}
-
-async fn free_kv(State(fake): State<EndpointFake>, Path(id): Path<String>) -> StatusCode {
-    match fake.lock().kv.remove(&id) {
-        Some(_) => StatusCode::NO_CONTENT,
-        None => StatusCode::NOT_FOUND,
-    }
-}
-
-/// Prefills a reserved segment, after importing the one before it.
-async fn prefill_kv(State(fake): State<EndpointFake>, Path(id): Path<String>) -> Response {
-    let time = {
-        let inner = fake.lock();
-        let Some(held) = inner.kv.get(&id) else {
-            return StatusCode::NOT_FOUND.into_response();
-        };
-        inner.engine.endpoint().speed.prefill(Tokens(held.holding.tokens))
-    };
-    sleep(time).await;
-    let mut inner = fake.lock();
-    match inner.kv.get_mut(&id) {
-        Some(held) => {
-            held.holding.filled = held.holding.tokens;
-            Json(json!({"filled": held.holding.filled})).into_response()
-        }
-        None => StatusCode::GONE.into_response(),
-    }
-}
-
-/// An order to the engine.
-#[derive(Debug, Deserialize)]
-struct Order {
-    fencing: u64,
-    order: Value,
-}
-
-async fn order(State(fake): State<EndpointFake>, Json(order): Json<Order>) -> Response {
-    let mut inner = fake.lock();
-    if inner.engine.endpoint().fenced && order.fencing < inner.fencing {
-        return (StatusCode::CONFLICT, Json(json!({"fencing": inner.fencing}))).into_response();
-    }
-    inner.fencing = inner.fencing.max(order.fencing);
-    inner.orders.push(json!({"fencing": order.fencing, "order": order.order}));
-    StatusCode::ACCEPTED.into_response()
-}
-
-async fn fault(State(fake): State<EndpointFake>, Json(fault): Json<Fault>) -> StatusCode {
-    fake.fail(fault);
-    StatusCode::NO_CONTENT
-}
-
-async fn stats(State(fake): State<EndpointFake>) -> Json<Value> {
-    let inner = fake.lock();
-    Json(json!({
-        "submitted": inner.submitted,
-        "excess": inner.engine.excess,
-        "running": inner.engine.running().count(),
-        "holdings": inner.kv.len(),
-        "cold": inner.engine.is_cold(),
-    }))
-}
