--- a/chestnutstage/src/accounts.rs
+++ b/chestnutstage/src/accounts.rs
@@ -55,9 +55,11 @@
     ) -> Result<(), Short> {
         let now = shared.clock.now();
         let instances = shared.roster.borrow().share.map_or(1, |s| s.roster);
+        let fresh = Bucket::local(now, contract, instances);
         let mut buckets = lock(&self.local);
-        let bucket =
-            buckets.entry(customer.clone()).or_insert_with(|| Bucket::local(now, contract, instances));
+        let bucket = buckets.entry(customer.clone()).or_insert(fresh);
+        // Contract and roster may have changed since the bucket was made.
+        bucket.retune(&fresh);
         bucket.spend(now, cost, contract)
     }
 
@@ -82,14 +84,11 @@
         let now = shared.clock.now();
         let snapshot = shared.config.snapshot();
         let contract = snapshot.contract(customer);
+        let fresh = Bucket::home(now, contract);
         let mut buckets = lock(&self.home);
-        buckets.entry(customer.clone()).or_insert_with(|| Bucket::home(now, contract)).lend(now, amount)
-    }
-
-    /// Forgets all buckets after contracts or the roster have changed.
-    pub(crate) fn reset(&self) {
-        lock(&self.local).clear();
-        lock(&self.home).clear();
+        let bucket = buckets.entry(customer.clone()).or_insert(fresh);
+        bucket.retune(&fresh);
+        bucket.lend(now, amount)
     }
 }
 
--- a/chestnutstage/src/instance.rs
+++ b/chestnutstage/src/instance.rs
@@ -135,7 +135,7 @@
             members: members.clone(),
             accounts: accounts.clone(),
         });
-        let callers = Callers { shared: shared.clone(), entry, calls, accounts: accounts.clone() };
+        let callers = Callers { shared: shared.clone(), entry, calls, accounts };
         let operators =
             Operators { shared: shared.clone(), committer: committer.clone(), owner: owner.clone() };
         let router = Router::new()
@@ -146,7 +146,7 @@
             tokio::spawn(tick(shared.clone(), owner.clone(), members.clone())),
             tokio::spawn(refresh(shared.clone(), committer)),
             tokio::spawn(list(shared.clone(), members.clone())),
-            tokio::spawn(view::follow(shared.clone(), owner.clone(), members.clone(), accounts)),
+            tokio::spawn(view::follow(shared.clone(), owner.clone(), members.clone())),
             tokio::spawn(memory::reconcile(shared.clone())),
         ];
         Self { shared, owner, members, tasks, router, handler }
--- a/chestnutstage/src/view.rs
+++ b/chestnutstage/src/view.rs
@@ -11,19 +11,17 @@
 use chestnutstage_core::window::Share;
 use kameo::actor::ActorRef;
 
-use crate::accounts::Accounts;
 use crate::actor::members::{MembersActor, Owns};
 use crate::actor::owner::{OwnerActor, View};
 use crate::config::Snapshot;
 use crate::platform::Listing;
 use crate::shared::{Roster, Shared, lock};
 
-/// Keeps the owner, the router and the accounts up to date with what they rest on.
+/// Keeps the owner and the router up to date with what they rest on.
 pub(crate) async fn follow(
     shared: Arc<Shared>,
     owner: ActorRef<OwnerActor>,
     members: ActorRef<MembersActor>,
-    accounts: Arc<Accounts>,
 ) {
     let mut roster = shared.roster.subscribe();
     let mut listing = shared.listing.subscribe();
@@ -42,10 +40,7 @@
             last = Some(view);
         }
         let changed = tokio::select! {
-            changed = config.changed() => {
-                accounts.reset();
-                changed
-            }
+            changed = config.changed() => changed,
             changed = roster.changed() => changed,
             changed = listing.changed() => changed,
         };
--- a/chestnutstage_core/src/contract.rs
+++ b/chestnutstage_core/src/contract.rs
@@ -68,6 +68,13 @@
         Self::new(now, contract.rate as f64 * (1.0 - LOCAL_PART))
     }
 
+    /// Takes over the rate of `other`; what was spent stays spent.
+    pub fn retune(&mut self, other: &Self) {
+        self.refill(other.at);
+        self.rate = other.rate;
+        self.level = self.level.min(self.rate * BURST.as_secs_f64());
+    }
+
     fn refill(&mut self, now: Time) {
         let gained = self.rate * now.since(self.at).as_secs_f64();
         self.level = (self.level + gained).min(self.level.max(self.rate * BURST.as_secs_f64()));
--- a/chestnutstage_core/tests/limits.rs
+++ b/chestnutstage_core/tests/limits.rs
@@ -81,6 +81,19 @@
     assert_eq!(home.lend(at(1_000), short.borrow), Tokens(0), "and pays it off first");
 }
 
+#[test]
+fn changed_contract() {
+    let contract = contract();
+    let mut home = Bucket::home(at(0), &contract);
+    assert!(home.lend(at(0), Tokens(8_000)).0 == 8_000);
+    home.retune(&Bucket::home(at(0), &contract));
+    assert!(home.lend(at(0), Tokens(8_000)).0 <= 1_000, "a change of configuration refills nothing");
+    let double = Contract { rate: 2_000, ..contract };
+    home.retune(&Bucket::home(at(1_000), &double));
+    let lent = home.lend(at(11_000), Tokens(100_000)).0;
+    assert!(lent >= 17_000, "the new rate holds from then on: {lent}");
+}
+
 #[test]
 fn budget_runs_out() {
     let mut budget = RetryBudget::new(1);
