Credit lent beyond a full bucket stays; placing ends at the deadline

And an entry waiting for an owner's word had no limit of its own. Ruled out: the home's level (18 million tokens at that time). Change: a bucket whose rate is unchanged keeps its level; placing is given up at the request's deadline. Tests: credit_outlasts_retune failed before and passes after.

--- a/chestnutstage/src/entry.rs
+++ b/chestnutstage/src/entry.rs
@@ -12,7 +12,7 @@
 use chestnutstage_core::time::Time;
 use rand::Rng;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::link::Conversation;
 use crate::link::message::{EntryWord, OwnerWord};
@@ -116,6 +116,20 @@
         job: &Job,
         attempt: &mut u16,
         avoid: &[EndpointId],
+    ) -> Result<Seat, Refusal> {
+        // The owner refuses what is late; an owner that is late itself must not keep the caller waiting.
+        let due = self.shared.clock.instant(job.deadline);
+        match timeout_at(due, self.place_in_rounds(job, attempt, avoid)).await {
+            Ok(placed) => placed,
+            Err(_) => Err(Refusal::Expired { retry: RETRY_DEFAULT }),
+        }
+    }
+
+    async fn place_in_rounds(
+        &self,
+        job: &Job,
+        attempt: &mut u16,
+        avoid: &[EndpointId],
     ) -> Result<Seat, Refusal> {
         let mut refusal = Refusal::NoEndpoint { retry: RETRY_DEFAULT };
         for round in 0..ROUNDS_MAX {
--- a/chestnutstage_core/src/contract.rs
+++ b/chestnutstage_core/src/contract.rs
@@ -71,6 +71,10 @@
     /// Takes over the rate of `other`; what was spent stays spent.
     pub fn retune(&mut self, other: &Self) {
         self.refill(other.at);
+        if self.rate.total_cmp(&other.rate).is_eq() {
+            // What was lent beyond a full bucket stays for the request that it was lent for.
+            return;
+        }
         self.rate = other.rate;
         self.level = self.level.min(self.rate * BURST.as_secs_f64());
     }
--- a/chestnutstage_core/tests/limits.rs
+++ b/chestnutstage_core/tests/limits.rs
@@ -94,6 +94,16 @@
     assert!(lent >= 17_000, "the new rate holds from then on: {lent}");
 }
 
+#[test]
+fn credit_outlasts_retune() {
+    let contract = contract();
+    let mut local = Bucket::local(at(0), &contract, 8);
+    let short = local.spend(at(0), Tokens(5_000), &contract).unwrap_err();
+    local.credit(short.borrow);
+    local.retune(&Bucket::local(at(0), &contract, 8));
+    assert!(local.spend(at(0), Tokens(5_000), &contract).is_ok(), "what was lent is there to be spent");
+}
+
 #[test]
 fn budget_runs_out() {
     let mut budget = RetryBudget::new(1);
