One answer to who owns what; code that nothing called is gone

Cause: which members may own endpoints was asked in four places, and which endpoints an instance owns in two, each with its own loop. Change: Health::may_own, Roster::owners and Roster::owned_by serve all of them; the dead code is out. Behaviour and tests are as before.

--- a/chestnutstage/src/accounts.rs
+++ b/chestnutstage/src/accounts.rs
@@ -95,16 +95,6 @@
 /// Instance that keeps the shared part of a customer's rate.
 fn home(shared: &Shared, customer: &CustomerId) -> Option<InstanceId> {
     let roster = shared.roster.borrow().clone();
-    let owners = roster.members.iter().filter(|m| {
-        matches!(
-            m.health,
-            chestnutstage_core::members::Health::Alive | chestnutstage_core::members::Health::Suspect
-        )
-    });
-    rendezvous::owner(
-        customer.as_str(),
-        &shared.settings.instance.zone,
-        owners.map(|m| (&m.id, &shared.settings.instance.zone)),
-    )
-    .cloned()
+    let zone = &shared.settings.instance.zone;
+    rendezvous::owner(customer.as_str(), zone, roster.owners().map(|m| (&m.id, zone))).cloned()
 }
--- a/chestnutstage/src/memory.rs
+++ b/chestnutstage/src/memory.rs
@@ -11,7 +11,6 @@
 use chestnutstage_core::explain::Decision;
 use chestnutstage_core::holding::{Fate, Holder, Name};
 use chestnutstage_core::members::Health;
-use chestnutstage_core::rendezvous;
 use log::debug;
 use tokio::time::sleep;
 
@@ -36,15 +35,8 @@
 
 fn owned(shared: &Shared) -> Vec<Endpoint> {
     let roster = shared.roster.borrow().clone();
-    let owners = || {
-        let alive = roster.members.iter().filter(|m| matches!(m.health, Health::Alive | Health::Suspect));
-        alive.map(|m| (&m.id, &m.zone))
-    };
     let listing = shared.listing.borrow().clone();
-    let mine = |e: &&Endpoint| {
-        e.kind == Kind::Engine && rendezvous::owner(e.id.as_str(), &e.zone, owners()) == Some(shared.me())
-    };
-    listing.endpoints.iter().filter(mine).cloned().collect()
+    roster.owned_by(shared.me(), &listing).filter(|e| e.kind == Kind::Engine).cloned().collect()
 }
 
 async fn look(shared: &Arc<Shared>, engine: &Endpoint) {
--- a/chestnutstage/src/shared.rs
+++ b/chestnutstage/src/shared.rs
@@ -6,9 +6,11 @@
 
 use chestnutstage_config::settings::Settings;
 use chestnutstage_core::budget::RetryBudget;
+use chestnutstage_core::endpoint::Endpoint;
 use chestnutstage_core::ids::{EndpointId, InstanceId, Nonce, RequestId, ZoneId};
 use chestnutstage_core::members::Member;
 use chestnutstage_core::outcome::Refusal;
+use chestnutstage_core::rendezvous;
 use chestnutstage_core::route::Router;
 use chestnutstage_core::window::Share;
 use rand::Rng;
@@ -38,6 +40,22 @@
 }
 
 impl Roster {
+    /// Members that may own endpoints.
+    pub(crate) fn owners(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(|m| m.health.may_own())
+    }
+
+    /// Endpoints of `listing` that the instance `me` owns.
+    pub(crate) fn owned_by<'a>(
+        &'a self,
+        me: &'a InstanceId,
+        listing: &'a Listing,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let owners: Vec<_> = self.owners().map(|m| (&m.id, &m.zone)).collect();
+        let owner = move |e: &Endpoint| rendezvous::owner(e.id.as_str(), &e.zone, owners.iter().copied());
+        listing.endpoints.iter().filter(move |e| owner(e) == Some(me))
+    }
+
     /// Address of a member.
     pub(crate) fn target(&self, id: &InstanceId) -> Option<Target> {
         let member = self.members.iter().find(|m| m.id == *id)?;
--- a/chestnutstage/src/view.rs
+++ b/chestnutstage/src/view.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 
 use chestnutstage_core::endpoint::Endpoint;
-use chestnutstage_core::ids::{InstanceId, ModelId, ZoneId};
-use chestnutstage_core::members::{Health, Member};
-use chestnutstage_core::rendezvous;
+use chestnutstage_core::ids::ModelId;
 use chestnutstage_core::route::Peer;
 use chestnutstage_core::window::Share;
 use kameo::actor::ActorRef;
@@ -50,17 +48,8 @@
     }
 }
 
-/// Members that own endpoints, with their zones.
-fn owners(roster: &Roster) -> impl Iterator<Item = &Member> {
-    roster.members.iter().filter(|m| matches!(m.health, Health::Alive | Health::Suspect))
-}
-
 fn view(shared: &Shared, snapshot: &Snapshot, roster: &Roster, listing: &Listing) -> View {
-    let owners: Vec<(&InstanceId, &ZoneId)> = owners(roster).map(|m| (&m.id, &m.zone)).collect();
-    let mine = |e: &&Endpoint| {
-        rendezvous::owner(e.id.as_str(), &e.zone, owners.iter().copied()) == Some(shared.me())
-    };
-    let owned: Vec<Endpoint> = listing.endpoints.iter().filter(mine).map(|e| adjusted(e, snapshot)).collect();
+    let owned: Vec<Endpoint> = roster.owned_by(shared.me(), listing).map(|e| adjusted(e, snapshot)).collect();
     let out: BTreeSet<_> =
         owned.iter().filter(|e| !snapshot.config.in_service(&e.id, &e.zone)).map(|e| e.id.clone()).collect();
     let share = roster.share.unwrap_or(Share::WHOLE);
@@ -78,6 +67,6 @@
 
 fn route(shared: &Shared, roster: &Roster, listing: &Listing) {
     let models: BTreeSet<ModelId> = listing.endpoints.iter().flat_map(|e| e.models.iter().cloned()).collect();
-    let peers = owners(roster).map(|m| Peer { id: &m.id, zone: &m.zone, models: m.models });
+    let peers = roster.owners().map(|m| Peer { id: &m.id, zone: &m.zone, models: m.models });
     lock(&shared.router).set_peers(peers, &models);
 }
--- a/chestnutstage_config/src/fleet.rs
+++ b/chestnutstage_config/src/fleet.rs
@@ -316,20 +316,6 @@
         special.unwrap_or(&self.defaults.contract)
     }
 
-    /// Capacity set for `endpoint` by an exception.
-    pub fn capacity(&self, endpoint: &EndpointId) -> Option<Capacity> {
-        self.exceptions.values().find_map(|e| match &e.rule {
-            Rule::Capacity { endpoint: id, capacity } if id == endpoint => Some(*capacity),
-            _ => None,
-        })
-    }
-
-    /// Customer that `key` belongs to.
-    pub fn customer(&self, key: &str) -> Option<&CustomerId> {
-        let hash = KeyHash::of(key);
-        self.customers.iter().find(|(_, c)| c.key.matches(&hash)).map(|(id, _)| id)
-    }
-
     /// Whether an endpoint may take new work.
     pub fn in_service(&self, endpoint: &EndpointId, zone: &ZoneId) -> bool {
         !self.zones.contains(zone) && !self.endpoints.contains(endpoint)
--- a/chestnutstage_core/src/members.rs
+++ b/chestnutstage_core/src/members.rs
@@ -53,6 +53,13 @@
     Left,
 }
 
+impl Health {
+    /// Whether a member in this condition may own endpoints.
+    pub const fn may_own(self) -> bool {
+        matches!(self, Self::Alive | Self::Suspect)
+    }
+}
+
 /// Set of models, as a filter over hashes; may name a model too many, never one too few.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ModelSet(u64);
@@ -191,7 +198,7 @@
 
     /// Members that may own endpoints: alive or under suspicion.
     pub fn owners(&self) -> impl Iterator<Item = &Member> {
-        self.all().filter(|m| matches!(m.health, Health::Alive | Health::Suspect))
+        self.all().filter(|m| m.health.may_own())
     }
 
     /// Members that configuration must reach: all that may take work.
--- a/chestnutstage_core/src/owner/mod.rs
+++ b/chestnutstage_core/src/owner/mod.rs
@@ -300,11 +300,6 @@
         actions
     }
 
-    /// When the next waiting request passes its deadline.
-    pub fn next_expiry(&self) -> Option<Time> {
-        self.queues.values().filter_map(super::queue::Queue::earliest).map(|(at, _)| at).min()
-    }
-
     fn serving<'a>(&'a self, model: &'a ModelId) -> impl Iterator<Item = &'a Slots> {
         self.slots.values().filter(move |s| {
             s.service == Service::In && !s.endpoint.leaving && s.endpoint.models.contains(model)
--- a/chestnutstage_core/src/queue.rs
+++ b/chestnutstage_core/src/queue.rs
@@ -100,7 +100,6 @@
 pub struct Queue {
     lanes: BTreeMap<Class, Lane>,
     items: HashMap<Ticket, Queued>,
-    deadlines: BTreeSet<Place>,
 }
 
 impl Queue {
@@ -127,7 +126,6 @@
     /// Adds a request.
     pub fn push(&mut self, item: Queued) {
         self.lanes.entry(item.class).or_default().push(&item);
-        self.deadlines.insert((item.deadline, item.ticket));
         self.items.insert(item.ticket, item);
     }
 
@@ -146,14 +144,8 @@
         self.take(ticket, false)
     }
 
-    /// The waiting request whose deadline comes first.
-    pub fn earliest(&self) -> Option<(Time, Ticket)> {
-        self.deadlines.first().copied()
-    }
-
     fn take(&mut self, ticket: Ticket, served: bool) -> Option<Queued> {
         let item = self.items.remove(&ticket)?;
-        self.deadlines.remove(&(item.deadline, ticket));
         if let Some(lane) = self.lanes.get_mut(&item.class) {
             lane.remove(&item, served);
         }
--- a/chestnutstage_core/src/route.rs
+++ b/chestnutstage_core/src/route.rs
@@ -107,16 +107,6 @@
         self.avoided.insert(owner.clone(), now + AVOID_TIME);
     }
 
-    /// Whether some instance owns an endpoint of `model`.
-    pub fn knows(&self, model: &ModelId) -> bool {
-        self.pools.contains_key(model)
-    }
-
-    /// Models that some instance owns an endpoint of.
-    pub fn models(&self) -> impl Iterator<Item = &ModelId> {
-        self.pools.keys()
-    }
-
     /// Owners to ask for `model`, the best first.
     pub fn candidates(
         &mut self,
--- a/chestnutstage_core/src/stream.rs
+++ b/chestnutstage_core/src/stream.rs
@@ -67,13 +67,6 @@
         self.next == 0
     }
 
-    /// Starts over on another engine; only before anything was shown.
-    pub const fn restart(&mut self) {
-        if self.is_untouched() {
-            self.boot = None;
-        }
-    }
-
     /// Judges a piece.
     pub fn accept(&mut self, piece: &Piece) -> Accept {
         let boot = *self.boot.get_or_insert(piece.boot);
