--- a/chestnutstage_core/src/budget.rs
+++ b/chestnutstage_core/src/budget.rs
@@ -20,18 +20,28 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     saved: u64,
+    saved_max: u64,
+    earned: u64,
     rng: SmallRng,
 }
 
 impl RetryBudget {
     /// A full budget; `seed` makes the jitter repeatable.
     pub fn new(seed: u64) -> Self {
-        Self { saved: SAVED_MAX, rng: SmallRng::seed_from_u64(seed) }
+        let rng = SmallRng::seed_from_u64(seed);
+        Self { saved: SAVED_MAX, saved_max: SAVED_MAX, earned: EARNED, rng }
+    }
+
+    /// A full budget that earns `ratio` retries for each first attempt and saves up `saved` at the most.
+    pub fn limited(seed: u64, ratio: f64, saved: f64) -> Self {
+        let saved = (saved * PRICE as f64) as u64;
+        let earned = (ratio * PRICE as f64) as u64;
+        Self { saved, saved_max: saved, earned, rng: SmallRng::seed_from_u64(seed) }
     }
 
     /// Takes in a first attempt.
     pub fn earn(&mut self) {
-        self.saved = (self.saved + EARNED).min(SAVED_MAX);
+        self.saved = (self.saved + self.earned).min(self.saved_max);
     }
 
     /// Delay before retry number `retry` (from zero), or none if the budget is used up.
--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -9,9 +9,11 @@
 
 pub mod affinity;
 pub mod budget;
+pub mod catalog;
 pub mod chain;
 pub mod contract;
 pub mod endpoint;
+pub mod engine;
 pub mod explain;
 pub mod grant;
 pub mod holding;
@@ -25,7 +27,10 @@
 pub mod outcome;
 pub mod owner;
 pub mod pause;
+pub mod pool;
 pub mod queue;
+pub mod rate;
+pub mod relay;
 pub mod rendezvous;
 pub mod route;
 mod slots;
--- /dev/null
+++ b/chestnutstage_core/src/pool/place.rs
@@ -0,0 +1,444 @@
+//! Placement of a request: the endpoints that cost the least worth, or a refusal with the time to come back.
+//!
+//! Load pattern: within seconds the mix swings between many brief prompts and few very long ones. A long read beside
+//! brief writers stalls all of them for a whole pass, so brief work stays on as few engines as it needs, counted from one
+//! end of an order that all instances share, and long work starts from the other end. A long prompt is read by several
+//! engines at once, as many as bring its first event in time and no more. What would come too late is refused at once:
+//! admitting it would make the work behind it late as well.
+
+use core::net::SocketAddr;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::load::Load;
+use super::{Grant, Key, Listing, Part, Pool, Site, Work};
+use crate::engine::Costs;
+use crate::ids::ModelId;
+use crate::time::Time;
+
+/// Brief requests that one engine answers before the next one takes some.
+const BRIEFS_PER_ENGINE: u32 = 8;
+/// Slots of an engine that stay free for requests that other instances are placing at the same moment.
+const SPARE_SLOTS: u32 = 1;
+/// Engines that stay free of brief work, in eighths of all.
+const BULK_EIGHTHS: usize = 1;
+/// Helpers of one prompt, at the most.
+const HELPERS_MAX: usize = 16;
+/// Part of the longest pause that a pass may take when a read is planned; the rest covers what is not modelled.
+const GAP_USED: f64 = 0.85;
+/// Part of the target that the first event may take when it is planned.
+const FIRST_USED: f64 = 0.8;
+/// Part of an answer's worth that is lost when it is late.
+const LATE: f64 = 0.75;
+/// Worth that one more engine must save.
+const PART_PRICE: f64 = 0.04;
+/// Worth of a second of waiting, in parts of the answer's worth.
+const WAIT_PRICE: f64 = 0.1;
+/// Worth lost when work goes to the engines that are meant for the other kind.
+const REGION_PRICE: f64 = 0.6;
+/// Worth of an answer whose prompt is empty; the users price a long prompt by its length.
+const VALUE_BASE: f64 = 0.7;
+/// Tokens that add one unit of worth.
+const VALUE_TOKENS: f64 = 8_800.0;
+/// Share of an engine's memory that is planned; the rest covers output beyond the estimate.
+const MEMORY_USED: f64 = 0.96;
+/// Reads of this many targets are admitted late, so that the longest prompts are not shut out.
+const LONG_ALONE: f64 = 1.2;
+/// Longest wait for such reads, in targets.
+const LONG_WAIT: f64 = 1.8;
+/// Shortest time after which to come back.
+const RETRY_MIN: Duration = Duration::from_millis(300);
+/// Longest time after which to come back.
+const RETRY_MAX: Duration = Duration::from_secs(3);
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand<'a> {
+    /// Its service.
+    pub service: &'a ModelId,
+    /// Tokens of the prompt.
+    pub tokens: u64,
+    /// Tokens that the answer may have.
+    pub output: u64,
+    /// Time left until the first event is late.
+    pub first: Duration,
+    /// Longest pause between events that is on time.
+    pub gap: Duration,
+    /// Time left until the caller gives up.
+    pub remaining: Duration,
+    /// Endpoints that were tried already.
+    pub tried: &'a [Key],
+    /// Number between zero and one that spreads those who come back.
+    pub jitter: f64,
+}
+
+/// An endpoint that reads a part of a prompt for another one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Helper {
+    /// The endpoint.
+    pub key: Key,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Memory to reserve there, in tokens; zero where the writer's own memory holds the part.
+    pub reserve: u64,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    /// Number of the grant.
+    pub number: u64,
+    /// The endpoint that gets the request.
+    pub key: Key,
+    /// What the list says of it.
+    pub listing: Listing,
+    /// Memory to reserve at the endpoint itself, in tokens.
+    pub reserve: u64,
+    /// Endpoints that help to read the prompt.
+    pub helpers: Vec<Helper>,
+    /// Expected time until the first event.
+    pub expected: Duration,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display, Serialize, Deserialize)]
+pub enum Cause {
+    /// No endpoint of the service takes work.
+    #[display("no endpoint")]
+    NoEndpoint,
+    /// All slots are taken.
+    #[display("no slot")]
+    NoSlot,
+    /// The answer would come too late.
+    #[display("too late")]
+    TooLate,
+    /// No memory for the prompt.
+    #[display("no memory")]
+    NoMemory,
+}
+
+/// A request that was not placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("{cause}; come back after {retry:?}")]
+pub struct Refusal {
+    /// Why.
+    pub cause: Cause,
+    /// When there may be room.
+    pub retry: Duration,
+}
+
+impl Refusal {
+    pub(super) fn new(cause: Cause, wait: Duration, jitter: f64) -> Self {
+        let retry = wait.clamp(RETRY_MIN, RETRY_MAX).mul_f64(1.0 + 0.5 * jitter);
+        Self { cause, retry }
+    }
+}
+
+/// An engine that may take a part of the request.
+struct Candidate<'a> {
+    key: Key,
+    site: &'a Site,
+    load: &'a Load,
+    rank: usize,
+    pace: f64,
+}
+
+/// Engines of one service, and how many of them are meant for brief work.
+struct Engines<'a> {
+    costs: &'a Costs,
+    open: Vec<Candidate<'a>>,
+    brief_width: usize,
+}
+
+/// A way to place a request and what it costs.
+struct Plan {
+    cost: f64,
+    first: f64,
+    parts: Vec<usize>,
+}
+
+impl Pool {
+    /// Places a request and grants the work, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] when no placement serves the request in time; nothing was granted.
+    pub fn place(&mut self, now: Time, demand: &Demand<'_>) -> Result<Placement, Refusal> {
+        let loads = self.loads(now);
+        let (key, grant, placement) = match self.engines.get(demand.service) {
+            None => self.place_plain(now, demand, &loads)?,
+            Some(costs) => self.place_prompt(now, demand, costs, &loads)?,
+        };
+        self.next += 1;
+        self.mine.insert(self.next, grant);
+        if let Some(site) = self.sites.get_mut(&key) {
+            site.cold.count(now);
+        }
+        Ok(Placement { number: self.next, ..placement })
+    }
+
+    /// Endpoints of a service that take work, those that failed lately only if there is no other.
+    pub(super) fn open_sites<'a>(
+        &'a self,
+        now: Time,
+        demand: &Demand<'_>,
+    ) -> Vec<(Key, &'a Site)> {
+        let rate = self.cold_rates.get(demand.service).copied().unwrap_or_default();
+        let open: Vec<_> = self
+            .sites
+            .iter()
+            .map(|(k, s)| (*k, s))
+            .filter(|(k, s)| s.listing.service == *demand.service && !demand.tried.contains(k))
+            .filter(|(_, s)| self.takes_work(now, s))
+            .filter(|(_, s)| rate <= 0.0 || now >= s.cold_until || s.cold.has_room(now, rate, self.sharers()))
+            .collect();
+        let sound: Vec<_> = open.iter().copied().filter(|(_, s)| now >= s.paused_until).collect();
+        if sound.is_empty() { open } else { sound }
+    }
+
+    fn place_prompt(
+        &self,
+        now: Time,
+        demand: &Demand<'_>,
+        costs: &Costs,
+        loads: &HashMap<Key, Load>,
+    ) -> Result<(Key, Grant, Placement), Refusal> {
+        let idle = Load::default();
+        let open = self.open_sites(now, demand);
+        let open: Vec<_> = open
+            .into_iter()
+            .enumerate()
+            .map(|(rank, (key, site))| Candidate {
+                key,
+                site,
+                load: loads.get(&key).unwrap_or(&idle),
+                rank,
+                pace: site.pace(now),
+            })
+            .collect();
+        if open.is_empty() {
+            return Err(Refusal::new(Cause::NoEndpoint, RETRY_MIN, demand.jitter));
+        }
+        let work = work_of(costs, demand);
+        let brief_width = brief_width(&open);
+        let engines = Engines { costs, open, brief_width };
+        match work {
+            Work::Bulk => engines.place_bulk(now, demand),
+            _ => engines.place_brief(now, demand),
+        }
+    }
+}
+
+/// Kind of a prompt: bulk if reading it alone would stall the writers of a pass.
+fn work_of(costs: &Costs, demand: &Demand<'_>) -> Work {
+    let gap = demand.gap.as_secs_f64() * 1e3;
+    let pass = costs.pass(BRIEFS_PER_ENGINE, 0);
+    let alone = costs.read(demand.tokens, 1);
+    if alone + pass > gap.min(GAP_USED * millis(demand.first)).max(2.0 * pass) || demand.tokens > costs.memory / 8 {
+        Work::Bulk
+    } else {
+        Work::Brief
+    }
+}
+
+/// Engines that brief work needs, counted from the start of the order.
+fn brief_width(open: &[Candidate<'_>]) -> usize {
+    let briefs: u32 = open.iter().map(|c| c.load.briefs).sum();
+    let wanted = (briefs + 1).div_ceil(BRIEFS_PER_ENGINE) as usize + 1;
+    let floor = (open.len() * BULK_EIGHTHS).div_ceil(8);
+    wanted.clamp(1, open.len().saturating_sub(floor).max(1))
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e3
+}
+
+/// Worth of an answer in relation to others.
+fn value_of(demand: &Demand<'_>) -> f64 {
+    VALUE_BASE + demand.tokens as f64 / VALUE_TOKENS
+}
+
+impl Engines<'_> {
+    /// Time until a read that is granted now is done and its first event is out, in milliseconds.
+    fn first(&self, candidate: &Candidate<'_>, read: f64) -> f64 {
+        let load = candidate.load;
+        let pass = self.costs.pass(load.held + 1, load.context);
+        let current = if load.held > 0 { pass / 2.0 } else { 0.0 };
+        (current + load.backlog + read + pass) * candidate.pace
+    }
+
+    /// Worth lost by the writers at an engine in the pass that reads `read` more.
+    fn damage(&self, candidate: &Candidate<'_>, read: f64) -> f64 {
+        let load = candidate.load;
+        let pass = self.costs.pass(load.held + 1, load.context) + load.backlog + read;
+        LATE * load.loss(pass * candidate.pace / GAP_USED)
+    }
+
+    /// Worth of the request that is lost when its first event takes `first` milliseconds.
+    fn lateness(demand: &Demand<'_>, first: f64) -> f64 {
+        let value = value_of(demand);
+        let wait = WAIT_PRICE * value * first / 1e3;
+        if first > FIRST_USED * millis(demand.first) { wait + LATE * value } else { wait }
+    }
+
+    fn has_slot(&self, candidate: &Candidate<'_>) -> bool {
+        candidate.load.held + SPARE_SLOTS < candidate.site.listing.slots.min(self.costs.slots).max(2)
+    }
+
+    fn free(&self, candidate: &Candidate<'_>) -> u64 {
+        let planned = (self.costs.memory as f64 * MEMORY_USED) as u64;
+        planned.saturating_sub(candidate.load.memory)
+    }
+
+    fn place_brief(&self, now: Time, demand: &Demand<'_>) -> Result<(Key, Grant, Placement), Refusal> {
+        let read = self.costs.read(demand.tokens, 1);
+        let memory = demand.tokens + demand.output;
+        let rate = |c: &Candidate<'_>| {
+            let first = self.first(c, read);
+            let own = Self::lateness(demand, first);
+            let region = if c.rank < self.brief_width { 0.0 } else { REGION_PRICE };
+            let crowd = f64::from(c.load.held) * 0.01;
+            (own + self.damage(c, read) + region + crowd, first)
+        };
+        let best = self
+            .open
+            .iter()
+            .filter(|c| self.has_slot(c) && self.free(c) >= memory)
+            .map(|c| (rate(c), c))
+            .min_by(|a, b| a.0.0.total_cmp(&b.0.0));
+        let Some(((_, first), c)) = best else {
+            let wait = self.costs.pass(BRIEFS_PER_ENGINE, 0) * 8.0;
+            return Err(Refusal::new(Cause::NoSlot, Duration::from_secs_f64(wait / 1e3), demand.jitter));
+        };
+        if first > millis(demand.remaining) {
+            return Err(self.too_late(demand, first));
+        }
+        let part = Part { endpoint: c.key, read: read as f32, memory: memory as u32, context: memory as u32 };
+        Ok(self.placed(now, demand, Work::Brief, vec![part], first, Vec::new(), 0))
+    }
+
+    fn place_bulk(&self, now: Time, demand: &Demand<'_>) -> Result<(Key, Grant, Placement), Refusal> {
+        let most = self.open.len().min(HELPERS_MAX + 1);
+        let plans = (1..=most).filter_map(|parts| self.plan(demand, parts));
+        let Some(plan) = plans.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
+            return Err(Refusal::new(Cause::NoMemory, Duration::from_secs(1), demand.jitter));
+        };
+        if plan.first > self.longest_wait(demand) {
+            return Err(self.too_late(demand, plan.first));
+        }
+        let chosen: Vec<&Candidate<'_>> = plan.parts.iter().map(|&i| &self.open[i]).collect();
+        let Some(memory) = self.spread(&chosen, demand) else {
+            return Err(Refusal::new(Cause::NoMemory, Duration::from_secs(1), demand.jitter));
+        };
+        let count = chosen.len() as u32;
+        let read = self.costs.read(demand.tokens, count) as f32;
+        let context = (demand.tokens / u64::from(count)) as u32;
+        let parts = chosen
+            .iter()
+            .zip(&memory)
+            .map(|(c, m)| Part { endpoint: c.key, read, memory: *m as u32, context: if *m > 0 { context } else { 0 } })
+            .collect();
+        let tickets = memory[1..].iter().any(|m| *m > 0);
+        let helpers = chosen[1..].iter().zip(&memory[1..]);
+        let helpers = helpers.map(|(c, m)| Helper { key: c.key, address: c.site.listing.address, reserve: *m }).collect();
+        let reserve = if tickets { memory[0] } else { 0 };
+        Ok(self.placed(now, demand, Work::Bulk, parts, plan.first, helpers, reserve))
+    }
+
+    /// Longest wait for the first event with which a request is admitted, in milliseconds.
+    fn longest_wait(&self, demand: &Demand<'_>) -> f64 {
+        let target = millis(demand.first);
+        let alone = self.costs.read(demand.tokens, 1);
+        let wait = if alone > LONG_ALONE * target { target * LONG_WAIT } else { target };
+        wait.min(millis(demand.remaining) * 0.7)
+    }
+
+    fn too_late(&self, demand: &Demand<'_>, first: f64) -> Refusal {
+        let wait = (first - millis(demand.first)).max(0.0);
+        Refusal::new(Cause::TooLate, Duration::from_secs_f64(wait / 1e3), demand.jitter)
+    }
+
+    /// The best choice of `parts` engines, the writer first.
+    fn plan(&self, demand: &Demand<'_>, parts: usize) -> Option<Plan> {
+        let read = self.costs.read(demand.tokens, parts as u32);
+        let mut rated: Vec<(f64, f64, usize)> = self
+            .open
+            .iter()
+            .enumerate()
+            .map(|(index, c)| {
+                let first = self.first(c, read);
+                let region = if c.rank < self.brief_width { REGION_PRICE } else { 0.0 };
+                let wait = WAIT_PRICE * value_of(demand) * first / 1e3;
+                (self.damage(c, read) + region + wait, first, index)
+            })
+            .collect();
+        rated.sort_by(|a, b| a.0.total_cmp(&b.0));
+        rated.truncate(parts);
+        let first = rated.iter().map(|r| r.1).fold(0.0, f64::max);
+        let side: f64 = rated.iter().map(|r| r.0).sum();
+        let pass = read + self.costs.pass(2, 0);
+        let gap = if pass > GAP_USED * millis(demand.gap) { LATE * value_of(demand) * 0.3 } else { 0.0 };
+        let mut parts: Vec<usize> = rated.iter().map(|r| r.2).collect();
+        self.lead_first(&mut parts)?;
+        let cost = Self::lateness(demand, first) + side + gap + PART_PRICE * parts.len() as f64;
+        let needed = demand.tokens + demand.output;
+        let room: u64 = parts.iter().map(|&i| self.free(&self.open[i])).sum();
+        (room >= needed).then_some(Plan { cost, first, parts })
+    }
+
+    /// Puts the engine with the most free memory that has a slot first.
+    fn lead_first(&self, parts: &mut [usize]) -> Option<()> {
+        let lead = (0..parts.len())
+            .filter(|&p| self.has_slot(&self.open[parts[p]]))
+            .max_by_key(|&p| self.free(&self.open[parts[p]]))?;
+        parts.swap(0, lead);
+        Some(())
+    }
+
+    /// Memory to fill at each engine: all at the writer if it fits there.
+    fn spread(&self, chosen: &[&Candidate<'_>], demand: &Demand<'_>) -> Option<Vec<u64>> {
+        let needed = demand.tokens + demand.output;
+        let mut memory = vec![0; chosen.len()];
+        let lead = self.free(chosen[0]);
+        if lead >= needed {
+            memory[0] = needed;
+            return Some(memory);
+        }
+        let mut rest = needed;
+        let even = needed.div_ceil(chosen.len() as u64);
+        for (slot, c) in memory.iter_mut().zip(chosen) {
+            *slot = even.min(self.free(c)).min(rest);
+            rest -= *slot;
+        }
+        for (slot, c) in memory.iter_mut().zip(chosen) {
+            let more = rest.min(self.free(c) - *slot);
+            *slot += more;
+            rest -= more;
+        }
+        (rest == 0).then_some(memory)
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of a placement, put together in one place")]
+    fn placed(
+        &self,
+        now: Time,
+        demand: &Demand<'_>,
+        work: Work,
+        parts: Vec<Part>,
+        first: f64,
+        helpers: Vec<Helper>,
+        reserve: u64,
+    ) -> (Key, Grant, Placement) {
+        let key = parts[0].endpoint;
+        let listing = self.open.iter().find(|c| c.key == key).map(|c| c.site.listing.clone());
+        let listing = listing.expect("the writer is one of the open engines");
+        let gap = demand.gap.as_millis() as u32;
+        let value = value_of(demand) as f32;
+        let expected = Duration::from_secs_f64(first / 1e3);
+        let grant = Grant { work, parts, granted: now, first: None, gap, value };
+        (key, grant, Placement { number: 0, key, listing, reserve, helpers, expected })
+    }
+}
--- /dev/null
+++ b/chestnutstage_core/src/pool/plain.rs
@@ -0,0 +1,59 @@
+//! Placement of calls to plain services: few slots, short work, tight targets.
+//!
+//! The endpoint with the least held work for its slots gets the call; among equals one in the same zone. A call that would
+//! wait longer than it may is refused at once.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::load::Load;
+use super::place::{Cause, Demand, Placement, Refusal};
+use super::{Grant, Key, Part, Pool, Work};
+use crate::time::Time;
+
+/// Held calls that a difference of zones is worth.
+const ZONE_PRICE: f64 = 1.5;
+/// Calls that may wait for each slot of an endpoint.
+const WAITING_PER_SLOT: u32 = 2;
+/// Time after which a slot is expected to be free again.
+const SLOT_TIME: Duration = Duration::from_millis(100);
+
+impl Pool {
+    pub(super) fn place_plain(
+        &self,
+        now: Time,
+        demand: &Demand<'_>,
+        loads: &HashMap<Key, Load>,
+    ) -> Result<(Key, Grant, Placement), Refusal> {
+        let open = self.open_sites(now, demand);
+        if open.is_empty() {
+            return Err(Refusal::new(Cause::NoEndpoint, SLOT_TIME, demand.jitter));
+        }
+        let held = |key: &Key| loads.get(key).map_or(0, |l| l.held);
+        let cost = |(key, site): &(Key, &super::Site)| {
+            let away = self.zone.as_ref() != Some(&site.listing.zone);
+            let fill = f64::from(held(key)) / f64::from(site.listing.slots.max(1));
+            let zone = if away { ZONE_PRICE / f64::from(site.listing.slots.max(1)) } else { 0.0 };
+            fill + zone
+        };
+        let best = open
+            .iter()
+            .filter(|(key, site)| held(key) < site.listing.slots.max(1) * (1 + WAITING_PER_SLOT))
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let Some((key, site)) = best else {
+            return Err(Refusal::new(Cause::NoSlot, SLOT_TIME, demand.jitter));
+        };
+        let part = Part { endpoint: *key, read: 0.0, memory: 0, context: 0 };
+        let grant =
+            Grant { work: Work::Plain, parts: vec![part], granted: now, first: None, gap: 0, value: 1.0 };
+        let placement = Placement {
+            number: 0,
+            key: *key,
+            listing: site.listing.clone(),
+            reserve: 0,
+            helpers: Vec::new(),
+            expected: SLOT_TIME,
+        };
+        Ok((*key, grant, placement))
+    }
+}
--- a/chestnutstage_core/src/time.rs
+++ b/chestnutstage_core/src/time.rs
@@ -53,3 +53,11 @@
         Self(self.0.saturating_add(rhs))
     }
 }
+
+impl std::ops::Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_sub(rhs))
+    }
+}
--- /dev/null
+++ b/chestnutstage_gateway/src/gateway.rs
@@ -0,0 +1,219 @@
+//! A whole gateway instance: its parts are made here, started and stopped in order.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use chestnutstage_core::budget::RetryBudget;
+use kameo::actor::Spawn;
+use kameo::mailbox;
+use log::{info, warn};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, interval, sleep};
+
+use crate::channel::Channels;
+use crate::clock::Clock;
+use crate::dispatcher::Dispatcher;
+use crate::knowledge::{Follower, Knowledge};
+use crate::outside::{Member, Topic};
+use crate::peers::{LinkError, Peers, fresh_identity};
+use crate::settings::Settings;
+use crate::shared::{Adapters, Shared};
+use crate::{checks, front, watch as reports};
+
+/// Pause before the store is asked again at the start.
+const START_PAUSE: Duration = Duration::from_millis(150);
+/// Time for which a leaving instance takes what the balancer still sends.
+const LINGER: Duration = Duration::from_millis(2_600);
+/// Rest of the grace in which the process ends by itself.
+const GRACE_REST: Duration = Duration::from_millis(500);
+/// Interval of housekeeping.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which the end of all requests is looked for.
+const IDLE_INTERVAL: Duration = Duration::from_millis(50);
+/// Part of the shared retries that is used; the rest covers instances that joined unseen.
+const RETRY_USED: f64 = 0.8;
+/// Instances among which the shared retries are divided.
+const RETRY_SHARERS: f64 = 9.0;
+
+/// Why an instance can't start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// A port can't be bound.
+    #[error("bind of {address}: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The metrics can't be set up.
+    #[error("metrics: {0}")]
+    Metrics(#[from] BuildError),
+    /// The links can't be set up.
+    #[error("links: {0}")]
+    Link(#[from] LinkError),
+}
+
+/// A running gateway instance.
+pub struct Gateway {
+    shared: Arc<Shared>,
+    closing: watch::Sender<bool>,
+    peers: Arc<Mutex<Option<Arc<Peers>>>>,
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|source| StartError::Bind { address, source })
+}
+
+impl Gateway {
+    /// Starts an instance.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] if a port can't be bound or the metrics can't be set up.
+    pub async fn start(settings: Settings, adapters: Adapters) -> Result<Self, StartError> {
+        let metrics = PrometheusBuilder::new().install_recorder()?;
+        let callers = bind(settings.listen.callers).await?;
+        let checks = bind(settings.listen.checks).await?;
+        let clock = Clock::start();
+        let granted = Arc::new(Notify::new());
+        let dispatcher = Dispatcher::new(
+            settings.instance.zone.clone(),
+            clock,
+            settings.bounds.clone(),
+            granted.clone(),
+        );
+        let dispatcher = Dispatcher::spawn_with_mailbox(dispatcher, mailbox::unbounded());
+        let life = format!("{}-{:08x}", settings.instance.name, rand::random::<u32>());
+        info!(callers:% = settings.listen.callers, zone:% = settings.instance.zone; "instance starts");
+        let budget = retry_budget(&settings);
+        let shared = Arc::new(Shared {
+            settings,
+            clock,
+            adapters,
+            knowledge: Arc::new(Knowledge::new(clock)),
+            dispatcher,
+            channels: Channels::default(),
+            budget: Mutex::new(budget),
+            draining: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+            life,
+        });
+        let (closing, closed) = watch::channel(false);
+        let peers = Arc::new(Mutex::new(None));
+        tokio::spawn(front::listen(shared.clone(), callers, closed));
+        serve_checks(&shared, checks, metrics).await;
+        for topic in [Topic::Operators, Topic::Endpoints, Topic::Members] {
+            tokio::spawn(follower(&shared, topic).run());
+        }
+        tokio::spawn(housekeeping(shared.clone()));
+        tokio::spawn(link(shared.clone(), granted, peers.clone()));
+        Ok(Self { shared, closing, peers })
+    }
+
+    /// Takes no new callers, lets requests under way end within the grace, and leaves.
+    pub async fn shutdown(self) {
+        let started = Instant::now();
+        let grace = self.shared.settings.bounds.grace().saturating_sub(GRACE_REST);
+        info!(running = self.shared.running.load(Ordering::Relaxed); "shutdown begins");
+        self.shared.draining.store(true, Ordering::Relaxed);
+        let leaving = self.shared.clone();
+        tokio::spawn(async move {
+            if let Err(e) = leaving.adapters.registry.leave(&leaving.settings.instance.name).await {
+                warn!("{e}");
+            }
+        });
+        sleep(LINGER.min(grace)).await;
+        self.closing.send_replace(true);
+        while !self.shared.is_idle() && started.elapsed() < grace {
+            sleep(IDLE_INTERVAL).await;
+        }
+        let peers = self.peers.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+        if let Some(peers) = peers {
+            peers.leave().await;
+        }
+        sleep(IDLE_INTERVAL).await;
+        info!(running = self.shared.running.load(Ordering::Relaxed); "instance stops");
+    }
+}
+
+fn retry_budget(settings: &Settings) -> RetryBudget {
+    let bounds = &settings.bounds;
+    let saved = bounds.retry_extra * RETRY_USED / RETRY_SHARERS;
+    RetryBudget::limited(rand::random(), bounds.retry_ratio * RETRY_USED, saved)
+}
+
+fn follower(shared: &Shared, topic: Topic) -> Follower {
+    Follower {
+        topic,
+        registry: shared.adapters.registry.clone(),
+        knowledge: shared.knowledge.clone(),
+        dispatcher: shared.dispatcher.clone(),
+    }
+}
+
+async fn serve_checks(shared: &Arc<Shared>, listener: TcpListener, metrics: PrometheusHandle) {
+    let router = checks::router(shared.clone(), metrics);
+    if let Some(port) = shared.settings.listen.metrics {
+        let address = SocketAddr::new(IpAddr::V4(shared.settings.instance.ip), port);
+        match bind(address).await {
+            Ok(extra) => _ = tokio::spawn(axum::serve(extra, router.clone()).into_future()),
+            Err(e) => warn!("metrics are served at the checks address only: {e}"),
+        }
+    }
+    tokio::spawn(axum::serve(listener, router).into_future());
+}
+
+async fn housekeeping(shared: Arc<Shared>) {
+    let mut ticks = interval(SWEEP_INTERVAL);
+    loop {
+        ticks.tick().await;
+        shared.channels.sweep();
+    }
+}
+
+/// Enters this instance in the store and opens the links to the others.
+async fn link(shared: Arc<Shared>, granted: Arc<Notify>, place: Arc<Mutex<Option<Arc<Peers>>>>) {
+    let identity = match fresh_identity() {
+        Ok(fresh) => kept_identity(&shared, &fresh).await,
+        Err(e) => {
+            warn!("no links to the other instances: {e}");
+            return;
+        }
+    };
+    let address = SocketAddr::new(IpAddr::V4(shared.settings.instance.ip), shared.settings.listen.peers);
+    let peers = match Peers::bind(shared.clone(), &identity, address) {
+        Ok(peers) => Arc::new(peers),
+        Err(e) => {
+            warn!("no links to the other instances: {e}");
+            return;
+        }
+    };
+    *place.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(peers.clone());
+    let instance = &shared.settings.instance;
+    let member = Member { id: instance.name.clone(), zone: instance.zone.clone(), address };
+    tokio::spawn(peers.clone().accept());
+    tokio::spawn(peers.clone().dial());
+    tokio::spawn(peers.clone().tell(granted));
+    tokio::spawn(reports::run(shared.clone(), peers));
+    while let Err(e) = shared.adapters.registry.join(&member).await {
+        info!("{e}");
+        sleep(START_PAUSE).await;
+    }
+}
+
+async fn kept_identity(shared: &Shared, fresh: &str) -> String {
+    loop {
+        match shared.adapters.registry.secret(fresh).await {
+            Ok(kept) => return kept,
+            Err(e) => info!("{e}"),
+        }
+        sleep(START_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/chestnutstage_gateway/src/knowledge.rs
@@ -0,0 +1,292 @@
+//! What this instance knows from the store, and how old that is.
+//!
+//! Each topic is read whole once and then followed. Knowledge is as old as the moment at which the last answered call was
+//! sent: the store's answers hold for some moment after it. A peer that knows the same revision at a later moment makes
+//! the knowledge here as fresh, so that an instance that the store turns away goes on while the others are served.
+//! Versions of the catalog only rise.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use chestnutstage_core::catalog::Directory;
+use chestnutstage_core::ids::{InstanceId, ZoneId};
+use chestnutstage_core::time::Time;
+use kameo::actor::ActorRef;
+use log::{info, warn};
+use metrics::counter;
+use rand::Rng;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::clock::Clock;
+use crate::dispatcher::{Dispatcher, Instances, Listings, Rules};
+use crate::outside::{Fact, Failure, Member, News, Registry, Topic};
+use crate::peers::PeerRules;
+
+/// Longest wait of a call for changes; its answer also proves that the knowledge is fresh.
+const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest wait for changes of the instances, which peers notice by themselves.
+const MEMBERS_WAIT: Duration = Duration::from_secs(20);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Silence of the store from which entries may have lapsed without their endpoints being gone.
+const OUTAGE: Duration = Duration::from_millis(1_800);
+/// Time after an outage in which lapsed entries come back.
+const RETURN: Duration = Duration::from_millis(2_500);
+
+#[derive(Debug, Default)]
+struct State {
+    known: Option<Time>,
+    zones_out: BTreeSet<ZoneId>,
+    members: BTreeMap<InstanceId, Member>,
+    outage_until: Time,
+}
+
+/// What this instance knows from the store.
+#[derive(Debug)]
+pub(crate) struct Knowledge {
+    clock: Clock,
+    directory: ArcSwapOption<Directory>,
+    state: Mutex<State>,
+    listed: AtomicBool,
+    pub(crate) members_changed: Notify,
+}
+
+impl Knowledge {
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            directory: ArcSwapOption::empty(),
+            state: Mutex::default(),
+            listed: AtomicBool::new(false),
+            members_changed: Notify::new(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The catalog in force here.
+    pub(crate) fn directory(&self) -> Option<Arc<Directory>> {
+        self.directory.load_full()
+    }
+
+    /// Whether the endpoints were read.
+    pub(crate) fn has_endpoints(&self) -> bool {
+        self.listed.load(Ordering::Relaxed)
+    }
+
+    /// Age of what is known of the operators' rules.
+    pub(crate) fn rules_age(&self) -> Duration {
+        self.lock().known.map_or(Duration::MAX, |known| self.clock.now().since(known))
+    }
+
+    /// Hash of the operators' rules in force here.
+    pub(crate) fn content(&self) -> Option<u64> {
+        let version = self.directory()?.catalog().version;
+        let state = self.lock();
+        let zones = state.zones_out.iter().map(ZoneId::as_str).collect::<Vec<_>>().join(",");
+        Some(xxh3_64_with_seed(zones.as_bytes(), version))
+    }
+
+    /// Takes that a peer knew rules with the same hash as the newest ones, `age` before now.
+    pub(crate) fn confirm(&self, content: u64, age: Duration) {
+        if self.content() == Some(content) {
+            self.mark(self.clock.now() - age);
+        }
+    }
+
+    /// The operators' rules in force here, for a peer.
+    pub(crate) fn rules(&self) -> Option<PeerRules> {
+        let catalog = self.directory()?.catalog().clone();
+        Some(PeerRules { catalog, zones_out: self.zones_out(), age: self.rules_age() })
+    }
+
+    /// Takes rules of a peer if they are fresher; gives the catalog that is then in force.
+    pub(crate) fn take_peer(&self, rules: PeerRules) -> Option<Arc<Directory>> {
+        if rules.age >= self.rules_age() {
+            return None;
+        }
+        let directory = Directory::from(rules.catalog);
+        if self.directory().is_some_and(|present| present.supersedes(&directory)) {
+            return None;
+        }
+        info!(version = directory.catalog().version, age:? = rules.age; "rules of a peer");
+        self.take_catalog(directory);
+        self.lock().zones_out = rules.zones_out.into_iter().collect();
+        self.mark(self.clock.now() - rules.age);
+        self.directory()
+    }
+
+    /// Zones to which nothing may be sent.
+    pub(crate) fn zones_out(&self) -> Vec<ZoneId> {
+        self.lock().zones_out.iter().cloned().collect()
+    }
+
+    /// The other instances.
+    pub(crate) fn members(&self) -> Vec<Member> {
+        self.lock().members.values().cloned().collect()
+    }
+
+    /// Takes that the rules here were the newest ones at `known`.
+    fn mark(&self, known: Time) {
+        let mut state = self.lock();
+        state.known = state.known.max(Some(known));
+    }
+
+    /// Takes versions of the catalog and zones; gives whether anything changed.
+    fn take_rules(&self, facts: &[Fact], whole: bool) -> bool {
+        let mut changed = whole;
+        let mut state = self.lock();
+        if whole {
+            state.zones_out.clear();
+        }
+        for fact in facts {
+            match fact {
+                Fact::Catalog(catalog) => changed |= self.take_catalog(Directory::from((**catalog).clone())),
+                Fact::ZoneOut(zone) => {
+                    info!(zone:% = zone; "nothing more is sent to the zone");
+                    changed |= state.zones_out.insert(zone.clone());
+                }
+                Fact::ZoneIn(zone) => {
+                    info!(zone:% = zone; "the zone takes work again");
+                    changed |= state.zones_out.remove(zone);
+                }
+                _ => {}
+            }
+        }
+        changed
+    }
+
+    fn take_catalog(&self, directory: Directory) -> bool {
+        if self.directory.load().as_ref().is_some_and(|present| !directory.supersedes(present)) {
+            return false;
+        }
+        let version = directory.catalog().version;
+        let routes = directory.catalog().routes.len();
+        info!(version, routes; "catalog in force");
+        self.directory.store(Some(Arc::new(directory)));
+        true
+    }
+
+    fn take_members(&self, facts: Vec<Fact>, whole: bool) -> usize {
+        let mut state = self.lock();
+        if whole {
+            state.members.clear();
+        }
+        for fact in facts {
+            match fact {
+                Fact::Joined(member) => _ = state.members.insert(member.id.clone(), member),
+                Fact::Left(id) => _ = state.members.remove(&id),
+                _ => {}
+            }
+        }
+        self.members_changed.notify_one();
+        state.members.len()
+    }
+}
+
+/// Keeps what is known of one topic up to date, for ever.
+pub(crate) struct Follower {
+    pub(crate) topic: Topic,
+    pub(crate) registry: Arc<dyn Registry>,
+    pub(crate) knowledge: Arc<Knowledge>,
+    pub(crate) dispatcher: ActorRef<Dispatcher>,
+}
+
+impl Follower {
+    /// Reads the topic and follows it.
+    pub(crate) async fn run(self) {
+        let mut revision = None;
+        let mut lost = None;
+        loop {
+            let asked = self.knowledge.clock.now();
+            let result = match revision {
+                None => self.registry.read(self.topic).await,
+                Some(after) => self.registry.follow(self.topic, after, self.wait()).await,
+            };
+            match result {
+                Ok(news) => {
+                    self.regained(&mut lost);
+                    let whole = revision.is_none();
+                    revision = Some(news.revision);
+                    self.take(news, whole, asked).await;
+                }
+                Err(e) if e.failure == Failure::HistoryGone => {
+                    warn!(topic:% = self.topic; "the store dropped its history; reading everything again");
+                    revision = None;
+                }
+                Err(e) => {
+                    counter!("chestnutstage_store_failures_total").increment(1);
+                    if lost.is_none() {
+                        warn!(topic:% = self.topic; "store out of reach: {e}");
+                        lost = Some(asked);
+                    }
+                    let pause = RETRY_PAUSE.mul_f64(rand::rng().random_range(0.7..1.6));
+                    sleep(pause).await;
+                }
+            }
+        }
+    }
+
+    fn wait(&self) -> Duration {
+        if self.topic == Topic::Members { MEMBERS_WAIT } else { FOLLOW_WAIT }
+    }
+
+    fn regained(&self, lost: &mut Option<Time>) {
+        let Some(since) = lost.take() else { return };
+        let now = self.knowledge.clock.now();
+        let outage = now.since(since);
+        info!(topic:% = self.topic, outage:? = outage; "store reached again");
+        if outage >= OUTAGE {
+            self.knowledge.lock().outage_until = now + RETURN;
+        }
+    }
+
+    async fn take(&self, news: News, whole: bool, asked: Time) {
+        match self.topic {
+            Topic::Operators => {
+                self.take_rules(&news, whole).await;
+                self.knowledge.mark(asked);
+            }
+            Topic::Endpoints => self.take_listings(news.facts, whole).await,
+            Topic::Members => {
+                let count = self.knowledge.take_members(news.facts, whole);
+                _ = self.dispatcher.tell(Instances(count)).await;
+            }
+        }
+    }
+
+    async fn take_rules(&self, news: &News, whole: bool) {
+        if !self.knowledge.take_rules(&news.facts, whole) {
+            return;
+        }
+        let Some(directory) = self.knowledge.directory() else { return };
+        let zones_out = self.knowledge.zones_out();
+        _ = self.dispatcher.tell(Rules { directory, zones_out }).await;
+    }
+
+    async fn take_listings(&self, facts: Vec<Fact>, whole: bool) {
+        if facts.is_empty() && !whole {
+            return;
+        }
+        for fact in &facts {
+            match fact {
+                Fact::Listed(l) => {
+                    info!(endpoint:% = l.id, leaving = l.leaving, cold_ms = l.cold; "endpoint listed");
+                }
+                Fact::Unlisted(id) => info!(endpoint:% = id; "endpoint no longer listed"),
+                _ => {}
+            }
+        }
+        let outage = self.knowledge.clock.now() < self.knowledge.lock().outage_until;
+        if self.dispatcher.ask(Listings { facts, whole, outage }).await.is_ok_and(|count| count > 0) {
+            self.knowledge.listed.store(true, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/chestnutstage_gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! Routed services of chestnutstage.
+//!
+//! A [`Gateway`] takes callers' requests, finds the route and the customer, and places each request on an endpoint of the
+//! route's service. All instances share one picture of the load: each tells the others what it granted. Everything outside
+//! is behind the traits in [`outside`]; the decisions are in `chestnutstage_core`.
+//!
+//! The path of a request reads: `front` (connection) → `exchange` (route, customer, attempts) → `dispatcher` (placement)
+//! → `tickets` (memory) → `channel` (endpoint) → `stream` (events back to the caller).
+
+#![warn(missing_docs)]
+
+mod answer;
+mod channel;
+mod checks;
+mod clock;
+mod dispatcher;
+mod exchange;
+mod front;
+mod gateway;
+mod knowledge;
+pub mod logging;
+pub mod outside;
+mod peers;
+pub mod settings;
+mod shared;
+mod stream;
+mod tickets;
+mod watch;
+
+pub use gateway::{Gateway, StartError};
+pub use peers::LinkError;
+pub use shared::Adapters;
--- /dev/null
+++ b/chestnutstage_gateway/src/peers.rs
@@ -0,0 +1,456 @@
+//! Messages between the instances.
+//!
+//! Every instance tells all others its grants: at once when it grants something, else at intervals. A message holds
+//! everything, so that the loss of one is healed by the next. Messages travel as datagrams over one QUIC connection per
+//! pair, opened by the instance whose name is lower; larger ones take a stream of their own. All instances of a deployment
+//! share one certificate, which the store keeps.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutstage_core::catalog::Catalog;
+use chestnutstage_core::ids::{InstanceId, ZoneId};
+use chestnutstage_core::pool::Snapshot;
+use chestnutstage_core::time::Time;
+use log::{debug, info, warn};
+use metrics::{counter, gauge};
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt};
+use rustls::RootCertStore;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::server::WebPkiClientVerifier;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use crate::dispatcher::{Heard, PeerLeft, Tell};
+use crate::outside::Member;
+use crate::shared::Shared;
+
+/// Name that the shared certificate is made out to.
+const NAME: &str = "chestnutstage";
+/// Protocol name in the handshake.
+const ALPN: &[u8] = b"chestnutstage-gateway/1";
+/// Silence after which a connection is dead.
+const IDLE_LIMIT_MS: u32 = 2_500;
+/// Time limit for a connection to open.
+const CONNECT_LIMIT: Duration = Duration::from_millis(900);
+/// Pause before a connection is tried again.
+const CONNECT_PAUSE: Duration = Duration::from_millis(400);
+/// Interval of messages when nothing is granted.
+const TELL_INTERVAL: Duration = Duration::from_millis(100);
+/// Peers up to which that interval holds; it grows with their number.
+const TELL_PEERS: usize = 16;
+/// Time in which grants gather for one message.
+const GATHER: Duration = Duration::from_millis(3);
+/// Largest message, in bytes.
+const MESSAGE_MAX: usize = 4 << 20;
+/// Time limit of a question to a peer.
+const ASK_LIMIT: Duration = Duration::from_millis(500);
+/// Age of the rules from which a peer is asked for newer ones.
+const ASK_AGE: Duration = Duration::from_millis(1_600);
+/// Advantage in age that makes a peer worth asking.
+const ASK_GAIN: Duration = Duration::from_millis(500);
+
+/// Why links can't be set up.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// The certificate can't be made or read.
+    #[error("certificate: {0}")]
+    Certificate(String),
+    /// The port can't be bound.
+    #[error("bind of {address}: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// What an instance tells the others.
+#[derive(Debug, Serialize, Deserialize)]
+struct State {
+    id: InstanceId,
+    life: u64,
+    sequence: u64,
+    sent: Time,
+    snapshot: Snapshot,
+    rules: Option<RulesMark>,
+    leaving: bool,
+}
+
+/// What an instance knows of the operators' rules.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct RulesMark {
+    content: u64,
+    age: Duration,
+}
+
+/// The operators' rules, as a peer has them.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct PeerRules {
+    pub(crate) catalog: Catalog,
+    pub(crate) zones_out: Vec<ZoneId>,
+    pub(crate) age: Duration,
+}
+
+struct Peer {
+    connection: Connection,
+    life: u64,
+    sequence: u64,
+}
+
+/// Links to the other instances.
+pub(crate) struct Peers {
+    shared: Arc<Shared>,
+    endpoint: Endpoint,
+    life: u64,
+    open: Mutex<BTreeMap<InstanceId, Peer>>,
+    asking: Mutex<bool>,
+}
+
+/// A fresh certificate with its key, as one PEM text.
+///
+/// # Errors
+///
+/// [`LinkError::Certificate`] if the key can't be made.
+pub(crate) fn fresh_identity() -> Result<String, LinkError> {
+    let made = rcgen::generate_simple_self_signed(vec![NAME.to_owned()]);
+    let made = made.map_err(|e| LinkError::Certificate(e.to_string()))?;
+    Ok(format!("{}{}", made.cert.pem(), made.signing_key.serialize_pem()))
+}
+
+fn transport() -> Arc<TransportConfig> {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_LIMIT_MS))));
+    transport.datagram_receive_buffer_size(Some(MESSAGE_MAX));
+    Arc::new(transport)
+}
+
+fn configs(identity: &str) -> Result<(ServerConfig, ClientConfig), LinkError> {
+    let failed = |e: &dyn std::fmt::Display| LinkError::Certificate(e.to_string());
+    let certificate = CertificateDer::from_pem_slice(identity.as_bytes()).map_err(|e| failed(&e))?;
+    let key = PrivateKeyDer::from_pem_slice(identity.as_bytes()).map_err(|e| failed(&e))?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut roots = RootCertStore::empty();
+    roots.add(certificate.clone()).map_err(|e| failed(&e))?;
+    let roots = Arc::new(roots);
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone())
+        .build()
+        .map_err(|e| failed(&e))?;
+    let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|e| failed(&e))?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(vec![certificate.clone()], key.clone_key())
+        .map_err(|e| failed(&e))?;
+    server.alpn_protocols = vec![ALPN.to_vec()];
+    let mut client = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|e| failed(&e))?
+        .with_root_certificates(roots)
+        .with_client_auth_cert(vec![certificate], key)
+        .map_err(|e| failed(&e))?;
+    client.alpn_protocols = vec![ALPN.to_vec()];
+    let server = QuicServerConfig::try_from(server).map_err(|e| failed(&e))?;
+    let client = QuicClientConfig::try_from(client).map_err(|e| failed(&e))?;
+    let mut server = ServerConfig::with_crypto(Arc::new(server));
+    let mut client = ClientConfig::new(Arc::new(client));
+    server.transport_config(transport());
+    client.transport_config(transport());
+    Ok((server, client))
+}
+
+impl Peers {
+    /// Opens the port for the other instances.
+    ///
+    /// # Errors
+    ///
+    /// The certificate can't be used, or the port can't be bound.
+    pub(crate) fn bind(shared: Arc<Shared>, identity: &str, address: SocketAddr) -> Result<Self, LinkError> {
+        let (server, client) = configs(identity)?;
+        let mut endpoint =
+            Endpoint::server(server, address).map_err(|source| LinkError::Bind { address, source })?;
+        endpoint.set_default_client_config(client);
+        let life = rand::random();
+        Ok(Self { shared, endpoint, life, open: Mutex::default(), asking: Mutex::new(false) })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Peer>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn me(&self) -> &InstanceId {
+        &self.shared.settings.instance.name
+    }
+
+    /// Names of the instances that are linked.
+    pub(crate) fn linked(&self) -> Vec<InstanceId> {
+        self.lock().keys().cloned().collect()
+    }
+
+    /// Takes connections of peers, for ever.
+    pub(crate) async fn accept(self: Arc<Self>) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let peers = self.clone();
+            tokio::spawn(async move {
+                match incoming.await {
+                    Ok(connection) => peers.hear(connection).await,
+                    Err(e) => debug!("a peer's connection failed: {e}"),
+                }
+            });
+        }
+    }
+
+    /// Keeps connections to the members whose names are higher, for ever.
+    pub(crate) async fn dial(self: Arc<Self>) {
+        let mut dialing: HashMap<InstanceId, (Member, tokio::task::JoinHandle<()>)> = HashMap::new();
+        loop {
+            let members = self.shared.knowledge.members();
+            dialing.retain(|id, (known, task)| {
+                let stays = members.iter().any(|m| m.id == *id && m == known);
+                if !stays {
+                    task.abort();
+                }
+                stays
+            });
+            for member in members.into_iter().filter(|m| m.id > *self.me()) {
+                if !dialing.contains_key(&member.id) {
+                    let task = tokio::spawn(self.clone().keep_open(member.clone()));
+                    dialing.insert(member.id.clone(), (member, task));
+                }
+            }
+            self.shared.knowledge.members_changed.notified().await;
+        }
+    }
+
+    async fn keep_open(self: Arc<Self>, member: Member) {
+        loop {
+            let connecting = match self.endpoint.connect(member.address, NAME) {
+                Ok(connecting) => connecting,
+                Err(e) => {
+                    warn!(peer:% = member.id; "connection: {e}");
+                    return;
+                }
+            };
+            match timeout(CONNECT_LIMIT, connecting).await {
+                Ok(Ok(connection)) => {
+                    self.send_state(&connection).await;
+                    self.clone().hear(connection).await;
+                }
+                Ok(Err(e)) => debug!(peer:% = member.id; "connection: {e}"),
+                Err(_) => debug!(peer:% = member.id; "connection: no answer"),
+            }
+            sleep(CONNECT_PAUSE).await;
+        }
+    }
+
+    /// Takes what a peer says until its connection ends.
+    async fn hear(self: Arc<Self>, connection: Connection) {
+        let mut peer = None;
+        loop {
+            let message = tokio::select! {
+                datagram = connection.read_datagram() => datagram.map_err(|e| e.to_string()),
+                stream = connection.accept_uni() => match stream {
+                    Ok(mut stream) => match stream.read_to_end(MESSAGE_MAX).await {
+                        Ok(bytes) => Ok(Bytes::from(bytes)),
+                        Err(e) => {
+                            debug!("a peer's message broke off: {e}");
+                            continue;
+                        }
+                    },
+                    Err(e) => Err(e.to_string()),
+                },
+                stream = connection.accept_bi() => match stream {
+                    Ok((send, _)) => {
+                        tokio::spawn(self.clone().tell_rules(send));
+                        continue;
+                    }
+                    Err(e) => Err(e.to_string()),
+                },
+            };
+            match message {
+                Ok(bytes) => match postcard::from_bytes::<State>(&bytes) {
+                    Ok(state) => {
+                        let first = peer.replace(state.id.clone()).is_none();
+                        self.take(state, &connection, first).await;
+                    }
+                    Err(e) => warn!("a peer's message can't be read: {e}"),
+                },
+                Err(why) => {
+                    self.close(peer.as_ref(), &connection, &why);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn close(&self, peer: Option<&InstanceId>, connection: &Connection, why: &str) {
+        let Some(id) = peer else { return };
+        let mut open = self.lock();
+        if open.get(id).is_some_and(|p| p.connection.stable_id() == connection.stable_id()) {
+            open.remove(id);
+            warn!(peer:% = id; "link lost: {why}");
+        }
+    }
+
+    async fn take(self: &Arc<Self>, state: State, connection: &Connection, first: bool) {
+        {
+            let mut open = self.lock();
+            let known = open.get(&state.id).map(|p| (p.life, p.sequence));
+            if known.is_some_and(|(life, sequence)| life == state.life && sequence >= state.sequence) {
+                return;
+            }
+            let peer = Peer { connection: connection.clone(), life: state.life, sequence: state.sequence };
+            open.insert(state.id.clone(), peer);
+            gauge!("chestnutstage_peers_linked").set(open.len() as f64);
+        }
+        if first {
+            info!(peer:% = state.id; "link open");
+            self.send_state(connection).await;
+        }
+        if let Some(rules) = state.rules {
+            self.shared.knowledge.confirm(rules.content, rules.age);
+            self.consider(rules, connection);
+        }
+        let sent = if state.leaving {
+            self.shared.dispatcher.tell(PeerLeft(state.id)).await.is_ok()
+        } else {
+            let heard = Heard { peer: state.id, sent: state.sent, snapshot: state.snapshot };
+            self.shared.dispatcher.tell(heard).await.is_ok()
+        };
+        if !sent {
+            warn!("the dispatcher is gone; a peer's grants are not known");
+        }
+    }
+
+    /// Asks a peer for its rules if they are fresher than what the store last said here.
+    fn consider(self: &Arc<Self>, theirs: RulesMark, connection: &Connection) {
+        let age = self.shared.knowledge.rules_age();
+        let same = self.shared.knowledge.content() == Some(theirs.content);
+        if same || age < ASK_AGE || theirs.age + ASK_GAIN > age {
+            return;
+        }
+        let mut asking = self.asking.lock().unwrap_or_else(PoisonError::into_inner);
+        if std::mem::replace(&mut *asking, true) {
+            return;
+        }
+        let (peers, connection) = (self.clone(), connection.clone());
+        tokio::spawn(async move {
+            match timeout(ASK_LIMIT, ask_rules(&connection)).await {
+                Ok(Ok(rules)) => peers.shared.take_peer_rules(rules).await,
+                Ok(Err(e)) => info!("a peer did not give its rules: {e}"),
+                Err(_) => info!("a peer did not give its rules in time"),
+            }
+            *peers.asking.lock().unwrap_or_else(PoisonError::into_inner) = false;
+        });
+    }
+
+    async fn tell_rules(self: Arc<Self>, mut send: quinn::SendStream) {
+        let Some(rules) = self.shared.knowledge.rules() else { return };
+        match postcard::to_stdvec(&rules) {
+            Ok(bytes) => {
+                if let Err(e) = send.write_all(&bytes).await {
+                    debug!("rules for a peer: {e}");
+                }
+                _ = send.finish();
+            }
+            Err(e) => warn!("the rules can't be encoded: {e}"),
+        }
+    }
+
+    async fn state(&self) -> Option<Bytes> {
+        let snapshot = self.shared.dispatcher.ask(Tell).await.ok()??;
+        let knowledge = &self.shared.knowledge;
+        let rules = knowledge.content().map(|content| RulesMark { content, age: knowledge.rules_age() });
+        let now = self.shared.clock.now();
+        let state = State {
+            id: self.me().clone(),
+            life: self.life,
+            sequence: now.as_millis() * 1_000 + u64::from(rand::random::<u8>()),
+            sent: now,
+            snapshot,
+            rules,
+            leaving: self.shared.is_draining() && self.shared.is_idle(),
+        };
+        match postcard::to_stdvec(&state) {
+            Ok(bytes) => Some(Bytes::from(bytes)),
+            Err(e) => {
+                warn!("the state can't be encoded: {e}");
+                None
+            }
+        }
+    }
+
+    async fn send_state(&self, connection: &Connection) {
+        if let Some(message) = self.state().await {
+            send(connection, message).await;
+        }
+    }
+
+    /// Tells all peers the state: at intervals, and at once when something was granted. Runs for ever.
+    pub(crate) async fn tell(self: Arc<Self>, granted: Arc<Notify>) {
+        loop {
+            let connections: Vec<Connection> = self.lock().values().map(|p| p.connection.clone()).collect();
+            let factor = connections.len().div_ceil(TELL_PEERS).max(1) as u32;
+            if !connections.is_empty()
+                && let Some(message) = self.state().await
+            {
+                counter!("chestnutstage_states_sent_total").increment(connections.len() as u64);
+                for connection in &connections {
+                    send(connection, message.clone()).await;
+                }
+            }
+            tokio::select! {
+                () = sleep(TELL_INTERVAL * factor) => {}
+                () = granted.notified() => sleep(GATHER * factor).await,
+            }
+        }
+    }
+
+    /// Tells all peers that this instance leaves, and closes the links.
+    pub(crate) async fn leave(&self) {
+        let connections: Vec<Connection> = self.lock().values().map(|p| p.connection.clone()).collect();
+        if let Some(message) = self.state().await {
+            for connection in connections {
+                send(&connection, message.clone()).await;
+            }
+        }
+        self.endpoint.close(0_u32.into(), b"leaving");
+    }
+}
+
+/// Sends a message as a datagram if it fits into one, else on a stream.
+async fn send(connection: &Connection, message: Bytes) {
+    if connection.max_datagram_size().is_some_and(|size| message.len() <= size) {
+        if let Err(e) = connection.send_datagram(message) {
+            debug!("a message to a peer was not sent: {e}");
+        }
+        return;
+    }
+    let connection = connection.clone();
+    tokio::spawn(async move {
+        let sent = async {
+            let mut stream = connection.open_uni().await.map_err(|e| e.to_string())?;
+            stream.write_all(&message).await.map_err(|e| e.to_string())?;
+            stream.finish().map_err(|e| e.to_string())
+        };
+        if let Err(e) = sent.await {
+            debug!("a message to a peer was not sent: {e}");
+        }
+    });
+}
+
+async fn ask_rules(connection: &Connection) -> Result<PeerRules, String> {
+    let (mut send, mut receive) = connection.open_bi().await.map_err(|e| e.to_string())?;
+    send.write_all(b"?").await.map_err(|e| e.to_string())?;
+    send.finish().map_err(|e| e.to_string())?;
+    let bytes = receive.read_to_end(MESSAGE_MAX).await.map_err(|e| e.to_string())?;
+    postcard::from_bytes(&bytes).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/chestnutstage_gateway/src/shared.rs
@@ -0,0 +1,84 @@
+//! What all parts of an instance share.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use chestnutstage_core::budget::RetryBudget;
+use kameo::actor::ActorRef;
+use log::warn;
+
+use crate::channel::Channels;
+use crate::clock::Clock;
+use crate::dispatcher::{Dispatcher, Rules};
+use crate::knowledge::Knowledge;
+use crate::outside::{Dialect, Engines, Registry};
+use crate::peers::PeerRules;
+use crate::settings::Settings;
+
+/// Age of the operators' rules from which an instance asks the balancer for no more callers.
+const READY_AGE: Duration = Duration::from_millis(2_800);
+
+/// Adapters of everything outside.
+#[derive(Debug, Clone)]
+pub struct Adapters {
+    /// The platform's store.
+    pub registry: Arc<dyn Registry>,
+    /// Words on the wire.
+    pub dialect: Arc<dyn Dialect>,
+    /// Controls of the engines.
+    pub engines: Arc<dyn Engines>,
+}
+
+/// What all parts of an instance share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) adapters: Adapters,
+    pub(crate) knowledge: Arc<Knowledge>,
+    pub(crate) dispatcher: ActorRef<Dispatcher>,
+    pub(crate) channels: Channels,
+    pub(crate) budget: Mutex<RetryBudget>,
+    pub(crate) draining: AtomicBool,
+    pub(crate) running: AtomicUsize,
+    /// Unique name of this process's life.
+    pub(crate) life: String,
+}
+
+impl Shared {
+    /// Whether the balancer should send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_draining()
+            && self.knowledge.directory().is_some()
+            && self.knowledge.has_endpoints()
+            && self.knowledge.rules_age() < READY_AGE
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Whether no request is under way.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.running.load(Ordering::Relaxed) == 0
+    }
+
+    /// Takes the operators' rules from a peer that knew them later than this instance.
+    pub(crate) async fn take_peer_rules(&self, rules: PeerRules) {
+        let Some(directory) = self.knowledge.take_peer(rules) else { return };
+        let zones_out = self.knowledge.zones_out();
+        if self.dispatcher.tell(Rules { directory, zones_out }).await.is_err() {
+            warn!("the dispatcher is gone; a peer's rules are not in force");
+        }
+    }
+
+    /// Takes one retry from the budget.
+    pub(crate) fn may_retry(&self) -> bool {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner).retry(0).is_some()
+    }
+
+    /// Counts a first attempt.
+    pub(crate) fn earn_retries(&self) {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner).earn();
+    }
+}
--- /dev/null
+++ b/chestnutstage_gateway/src/stream.rs
@@ -0,0 +1,197 @@
+//! A stream of events on its way to a caller.
+//!
+//! Events go on as they arrive, whole and unchanged. Where the route allows it, a stream that breaks or falls silent is
+//! continued by another endpoint after the last whole event, within the same answer. A stream that can't be continued
+//! breaks the caller's connection, so that it never looks complete. A caller that leaves drops this, and with it the
+//! endpoint's connection.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutstage_core::catalog::Repeat;
+use futures::stream::unfold;
+use http::Response;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use log::{info, warn};
+use metrics::{counter, histogram};
+use tokio::time::{Instant, timeout_at};
+
+use crate::answer::Answer;
+use crate::dispatcher::Begun;
+use crate::exchange::{Attempt, Exchange, Upstream, drop_own};
+
+/// Longest pauses on time after which a silent stream is taken to another endpoint.
+const SILENT_GAPS: u32 = 3;
+/// Shortest silence that counts as a failure.
+const SILENT_MIN: Duration = Duration::from_millis(1_300);
+/// Targets without a first event after which another endpoint is tried.
+const SILENT_FIRST: f64 = 2.0;
+
+/// A stream of events on its way to a caller.
+struct Passage {
+    exchange: Exchange,
+    upstream: Option<Box<Upstream>>,
+    last: Instant,
+    begun: bool,
+}
+
+/// What came next on a stream.
+enum Next {
+    Bytes(Bytes),
+    End,
+    Broken(String),
+    TimedOut,
+}
+
+/// The answer whose body passes the stream on.
+pub(crate) fn answer(exchange: Exchange, upstream: Box<Upstream>) -> Answer {
+    let mut head = Response::new(()).into_parts().0;
+    head.status = upstream.head.status;
+    head.headers = upstream.head.headers.clone();
+    drop_own(&mut head.headers);
+    let passage = Passage { exchange, upstream: Some(upstream), last: Instant::now(), begun: false };
+    let frames = unfold(passage, |mut passage| async move {
+        let item = passage.next().await?;
+        Some((item.map(Frame::data), passage))
+    });
+    Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
+}
+
+impl Passage {
+    /// Next whole events, or nothing at the end of a complete stream.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            match self.read().await {
+                Next::Bytes(bytes) => return Some(Ok(bytes)),
+                Next::End => {
+                    self.finish();
+                    return None;
+                }
+                Next::TimedOut => return self.give_up("the time ran out"),
+                Next::Broken(why) => {
+                    if !self.resume(&why).await {
+                        return self.give_up(&why);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends an answer that can't be completed; its connection breaks. Asked again, there is nothing more.
+    fn give_up(&mut self, why: &str) -> Option<io::Result<Bytes>> {
+        self.upstream.take()?;
+        warn!(request = self.exchange.id, cause = why, events = self.exchange.relay.events(); "stream broken off");
+        counter!("chestnutstage_streams_broken_total").increment(1);
+        Some(Err(io::Error::other(why.to_owned())))
+    }
+
+    /// Waits for bytes that make up at least one whole event.
+    async fn read(&mut self) -> Next {
+        let resumable = self.exchange.route.repeat == Repeat::Resumable;
+        loop {
+            let limit = self.limit();
+            let Some(upstream) = &mut self.upstream else { return Next::End };
+            let frame = match timeout_at(limit, upstream.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(e))) => return Next::Broken(e.to_string()),
+                Ok(None) if resumable && self.exchange.relay.partial() > 0 => {
+                    return Next::Broken("the stream ended inside an event".into());
+                }
+                Ok(None) => return Next::End,
+                Err(_) if Instant::now() >= self.exchange.deadline => return Next::TimedOut,
+                Err(_) => return Next::Broken("the stream fell silent".into()),
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            let events = if resumable { self.exchange.relay.take(&data) } else { data };
+            if !events.is_empty() {
+                self.note_events();
+                return Next::Bytes(events);
+            }
+        }
+    }
+
+    fn note_events(&mut self) {
+        let now = Instant::now();
+        if !self.begun {
+            self.note_first(now);
+        }
+        self.last = now;
+    }
+
+    fn note_first(&mut self, now: Instant) {
+        self.begun = true;
+        let Some(upstream) = &self.upstream else { return };
+        let exchange = &self.exchange;
+        if exchange.shared.dispatcher.tell(Begun(upstream.granted.number)).try_send().is_err() {
+            warn!(request = exchange.id; "the dispatcher is gone");
+        }
+        let took = now.duration_since(upstream.sent);
+        let expected = upstream.expected;
+        info!(
+            request = exchange.id, first_ms = took.as_millis() as u64, expected_ms = expected.as_millis() as u64;
+            "first event"
+        );
+        histogram!("chestnutstage_first_event_seconds").record(took.as_secs_f64());
+        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(1e-3);
+        histogram!("chestnutstage_first_event_residual").record(ratio);
+    }
+
+    /// When to stop waiting for more events.
+    fn limit(&self) -> Instant {
+        let exchange = &self.exchange;
+        if exchange.route.repeat != Repeat::Resumable || exchange.runs >= exchange.route.attempts {
+            return exchange.deadline;
+        }
+        let target = exchange.route.target;
+        let patience = match &self.upstream {
+            Some(upstream) if !self.begun => {
+                target.first.max(upstream.expected).mul_f64(SILENT_FIRST) + SILENT_MIN
+            }
+            _ => (target.gap * SILENT_GAPS).max(SILENT_MIN),
+        };
+        exchange.deadline.min(self.last + patience)
+    }
+
+    /// Goes on with another endpoint; gives whether that was possible.
+    async fn resume(&mut self, why: &str) -> bool {
+        let Some(broken) = self.upstream.take() else { return false };
+        self.exchange.blame(broken.key).await;
+        drop(broken);
+        loop {
+            if self.exchange.route.repeat != Repeat::Resumable || !self.exchange.may_repeat() {
+                break;
+            }
+            self.exchange.relay.resume();
+            let after = self.exchange.relay.last();
+            info!(request = self.exchange.id, cause = why, after:? = after; "stream goes on at another endpoint");
+            match self.exchange.attempt().await {
+                Attempt::Begun(upstream) if upstream.head.status.is_success() => {
+                    counter!("chestnutstage_streams_resumed_total").increment(1);
+                    self.upstream = Some(upstream);
+                    self.last = Instant::now();
+                    self.begun = false;
+                    return true;
+                }
+                Attempt::NotRun(_) | Attempt::Unknown(_) => {}
+                Attempt::Begun(_) | Attempt::Refused(_) | Attempt::Barred(_) => break,
+            }
+        }
+        warn!(request = self.exchange.id, cause = why, events = self.exchange.relay.events(); "stream broken off");
+        counter!("chestnutstage_streams_broken_total").increment(1);
+        false
+    }
+
+    /// Keeps the connection of a stream that was read to its end.
+    fn finish(&mut self) {
+        let Some(upstream) = self.upstream.take() else { return };
+        let events = self.exchange.relay.events();
+        info!(request = self.exchange.id, events; "stream complete");
+        let closes = upstream.closes();
+        let Upstream { channel, key, .. } = *upstream;
+        if !closes {
+            self.exchange.shared.channels.put(key, channel);
+        }
+    }
+}
