--- a/chestnutstage_core/src/pool/load.rs
+++ b/chestnutstage_core/src/pool/load.rs
@@ -23,14 +23,25 @@
     pub(super) memory: u64,
     /// Time until all granted reads are done, in milliseconds at the published pace.
     pub(super) backlog: f64,
+    /// Reads of bulk requests that have not ended, in milliseconds.
+    pub(super) bulk_reads: f64,
     /// Longest pause that is on time and value, for each writer.
-    pub(super) writers: Vec<(u32, f32)>,
+    writers: Vec<(u32, f32)>,
+    /// Rest of the time until the first event is late, in milliseconds, and value, for each read.
+    readers: Vec<(f64, f32)>,
 }
 
 impl Load {
     /// Worth that is lost when a pass lasts `pass` milliseconds.
-    pub(super) fn loss(&self, pass: f64) -> f64 {
-        self.writers.iter().filter(|(gap, _)| pass > f64::from(*gap)).map(|(_, v)| f64::from(*v)).sum()
+    fn loss(&self, pass: f64) -> f64 {
+        let writers = self.writers.iter().filter(|(gap, _)| pass > f64::from(*gap)).map(|(_, v)| *v);
+        let readers = self.readers.iter().filter(|(rest, _)| pass > *rest).map(|(_, v)| *v);
+        writers.chain(readers).map(f64::from).sum()
+    }
+
+    /// Worth that is lost when a pass lasts `longer` instead of `pass` milliseconds.
+    pub(super) fn added_loss(&self, pass: f64, longer: f64) -> f64 {
+        self.loss(longer) - self.loss(pass)
     }
 }
 
@@ -40,7 +51,7 @@
         let mut loads: HashMap<Key, Load> = HashMap::new();
         let mut reads: HashMap<Key, Vec<(Time, f64)>> = HashMap::new();
         for grant in self.grants() {
-            add(&mut loads, grant);
+            add(now, &mut loads, grant);
             if grant.first.is_none() {
                 for part in &grant.parts {
                     reads.entry(part.endpoint).or_default().push((grant.granted, f64::from(part.read)));
@@ -55,11 +66,14 @@
     }
 }
 
-fn add(loads: &mut HashMap<Key, Load>, grant: &Grant) {
+fn add(now: Time, loads: &mut HashMap<Key, Load>, grant: &Grant) {
     for (index, part) in grant.parts.iter().enumerate() {
         let load = loads.entry(part.endpoint).or_default();
         load.memory += u64::from(part.memory);
         load.context += u64::from(part.context);
+        if grant.work == Work::Bulk && grant.first.is_none() {
+            load.bulk_reads += f64::from(part.read);
+        }
         if index > 0 {
             continue;
         }
@@ -71,6 +85,8 @@
         }
         if grant.first.is_some() {
             load.writers.push((grant.gap, grant.value));
+        } else {
+            load.readers.push((grant.due.since(now).as_secs_f64() * 1e3, grant.value));
         }
     }
 }
--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -108,6 +108,8 @@
     pub granted: Time,
     /// When the first event came.
     pub first: Option<Time>,
+    /// When the first event is late.
+    pub due: Time,
     /// Longest pause between events that is on time, in milliseconds.
     pub gap: u32,
     /// Worth of the answer in relation to other answers.
@@ -292,6 +294,7 @@
         for grant in &mut snapshot.grants {
             grant.granted = shift(grant.granted);
             grant.first = grant.first.map(shift);
+            grant.due = now + grant.due.since(sent);
         }
         for (key, rest) in &snapshot.paused {
             if let Some(site) = self.sites.get_mut(key) {
--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -19,14 +19,23 @@
 use crate::ids::ModelId;
 use crate::time::Time;
 
-/// Brief requests that one engine answers before the next one takes some.
-const BRIEFS_PER_ENGINE: u32 = 8;
+/// Brief requests on an engine at which their pauses stay short.
+const BRIEFS_LIKED: u32 = 8;
+/// Brief requests on an engine that still meet their targets.
+const BRIEFS_DENSE: u32 = 12;
+/// Reads that bulk work may have ahead for each of its engines, in milliseconds.
+const BULK_READS_LIKED: f64 = 250.0;
+/// Part of an answer's worth that others may lose by it; beyond that it is refused.
+const DAMAGE_MAX: f64 = 0.6;
 /// Slots of an engine that stay free for requests that other instances are placing at the same moment.
 const SPARE_SLOTS: u32 = 1;
+/// Engines that read a bulk prompt, at least: parts of a shared prompt go before other reads, so that a prompt which one
+/// engine reads alone would wait for all of them.
+const BULK_PARTS: usize = 2;
 /// Engines that stay free of brief work, in eighths of all.
 const BULK_EIGHTHS: usize = 1;
-/// Helpers of one prompt, at the most.
-const HELPERS_MAX: usize = 16;
+/// Engines of one prompt, at the most: sixteen may be named, the writer among them.
+const PARTS_MAX: usize = 16;
 /// Part of the longest pause that a pass may take when a read is planned; the rest covers what is not modelled.
 const GAP_USED: f64 = 0.85;
 /// Part of the target that the first event may take when it is planned.
@@ -35,10 +44,14 @@
 const LATE: f64 = 0.75;
 /// Worth that one more engine must save.
 const PART_PRICE: f64 = 0.04;
+/// Worth that a reservation must save.
+const TICKET_PRICE: f64 = 0.06;
 /// Worth of a second of waiting, in parts of the answer's worth.
 const WAIT_PRICE: f64 = 0.1;
-/// Worth lost when work goes to the engines that are meant for the other kind.
-const REGION_PRICE: f64 = 0.6;
+/// Worth lost when brief work goes to an engine that is meant for bulk work.
+const BRIEF_REGION: f64 = 0.6;
+/// Worth lost when a part of bulk work goes to an engine that is meant for brief work.
+const BULK_REGION: f64 = 2.0;
 /// Worth of an answer whose prompt is empty; the users price a long prompt by its length.
 const VALUE_BASE: f64 = 0.7;
 /// Tokens that add one unit of worth.
@@ -99,6 +112,8 @@
     pub reserve: u64,
     /// Endpoints that help to read the prompt.
     pub helpers: Vec<Helper>,
+    /// Positions of the endpoints in the order that all instances share, the writer's first.
+    pub ranks: Vec<usize>,
     /// Expected time until the first event.
     pub expected: Duration,
 }
@@ -157,6 +172,8 @@
 struct Plan {
     cost: f64,
     first: f64,
+    /// Worth that others lose.
+    side: f64,
     parts: Vec<usize>,
 }
 
@@ -185,17 +202,18 @@
         &'a self,
         now: Time,
         demand: &Demand<'_>,
-    ) -> Vec<(Key, &'a Site)> {
+    ) -> Vec<(usize, Key, &'a Site)> {
         let rate = self.cold_rates.get(demand.service).copied().unwrap_or_default();
         let open: Vec<_> = self
             .sites
             .iter()
-            .map(|(k, s)| (*k, s))
-            .filter(|(k, s)| s.listing.service == *demand.service && !demand.tried.contains(k))
-            .filter(|(_, s)| self.takes_work(now, s))
-            .filter(|(_, s)| rate <= 0.0 || now >= s.cold_until || s.cold.has_room(now, rate, self.sharers()))
+            .filter(|(_, s)| s.listing.service == *demand.service && self.takes_work(now, s))
+            .enumerate()
+            .map(|(rank, (k, s))| (rank, *k, s))
+            .filter(|(_, k, _)| !demand.tried.contains(k))
+            .filter(|(_, _, s)| rate <= 0.0 || now >= s.cold_until || s.cold.has_room(now, rate, self.sharers()))
             .collect();
-        let sound: Vec<_> = open.iter().copied().filter(|(_, s)| now >= s.paused_until).collect();
+        let sound: Vec<_> = open.iter().copied().filter(|(_, _, s)| now >= s.paused_until).collect();
         if sound.is_empty() { open } else { sound }
     }
 
@@ -210,8 +228,7 @@
         let open = self.open_sites(now, demand);
         let open: Vec<_> = open
             .into_iter()
-            .enumerate()
-            .map(|(rank, (key, site))| Candidate {
+            .map(|(rank, key, site)| Candidate {
                 key,
                 site,
                 load: loads.get(&key).unwrap_or(&idle),
@@ -235,7 +252,7 @@
 /// Kind of a prompt: bulk if reading it alone would stall the writers of a pass.
 fn work_of(costs: &Costs, demand: &Demand<'_>) -> Work {
     let gap = demand.gap.as_secs_f64() * 1e3;
-    let pass = costs.pass(BRIEFS_PER_ENGINE, 0);
+    let pass = costs.pass(BRIEFS_LIKED, 0);
     let alone = costs.read(demand.tokens, 1);
     if alone + pass > gap.min(GAP_USED * millis(demand.first)).max(2.0 * pass) || demand.tokens > costs.memory / 8 {
         Work::Bulk
@@ -244,12 +261,17 @@
     }
 }
 
-/// Engines that brief work needs, counted from the start of the order.
+/// Engines that are meant for brief work, counted from the start of the order: as many as it likes while bulk work leaves
+/// them, and no fewer than it needs.
 fn brief_width(open: &[Candidate<'_>]) -> usize {
-    let briefs: u32 = open.iter().map(|c| c.load.briefs).sum();
-    let wanted = (briefs + 1).div_ceil(BRIEFS_PER_ENGINE) as usize + 1;
+    let briefs: u32 = open.iter().map(|c| c.load.briefs).sum::<u32>() + 1;
+    let liked = briefs.div_ceil(BRIEFS_LIKED) as usize + 1;
+    let needed = briefs.div_ceil(BRIEFS_DENSE) as usize;
+    let bulk_reads: f64 = open.iter().map(|c| c.load.bulk_reads).sum();
     let floor = (open.len() * BULK_EIGHTHS).div_ceil(8);
-    wanted.clamp(1, open.len().saturating_sub(floor).max(1))
+    let bulk = ((bulk_reads / BULK_READS_LIKED).ceil() as usize).max(floor);
+    let most = open.len().saturating_sub(floor).max(1);
+    open.len().saturating_sub(bulk).clamp(needed.min(most), liked.max(needed).min(most)).max(1)
 }
 
 fn millis(duration: Duration) -> f64 {
@@ -273,8 +295,9 @@
     /// Worth lost by the writers at an engine in the pass that reads `read` more.
     fn damage(&self, candidate: &Candidate<'_>, read: f64) -> f64 {
         let load = candidate.load;
-        let pass = self.costs.pass(load.held + 1, load.context) + load.backlog + read;
-        LATE * load.loss(pass * candidate.pace / GAP_USED)
+        let pass = self.costs.pass(load.held + 1, load.context) + load.backlog;
+        let factor = candidate.pace / GAP_USED;
+        LATE * load.added_loss(pass * factor, (pass + read) * factor)
     }
 
     /// Worth of the request that is lost when its first event takes `first` milliseconds.
@@ -299,7 +322,7 @@
         let rate = |c: &Candidate<'_>| {
             let first = self.first(c, read);
             let own = Self::lateness(demand, first);
-            let region = if c.rank < self.brief_width { 0.0 } else { REGION_PRICE };
+            let region = if c.rank < self.brief_width { 0.0 } else { BRIEF_REGION };
             let crowd = f64::from(c.load.held) * 0.01;
             (own + self.damage(c, read) + region + crowd, first)
         };
@@ -310,7 +333,7 @@
             .map(|c| (rate(c), c))
             .min_by(|a, b| a.0.0.total_cmp(&b.0.0));
         let Some(((_, first), c)) = best else {
-            let wait = self.costs.pass(BRIEFS_PER_ENGINE, 0) * 8.0;
+            let wait = self.costs.pass(BRIEFS_LIKED, 0) * 8.0;
             return Err(Refusal::new(Cause::NoSlot, Duration::from_secs_f64(wait / 1e3), demand.jitter));
         };
         if first > millis(demand.remaining) {
@@ -321,12 +344,12 @@
     }
 
     fn place_bulk(&self, now: Time, demand: &Demand<'_>) -> Result<(Key, Grant, Placement), Refusal> {
-        let most = self.open.len().min(HELPERS_MAX + 1);
-        let plans = (1..=most).filter_map(|parts| self.plan(demand, parts));
+        let most = self.open.len().min(PARTS_MAX);
+        let plans = (BULK_PARTS.min(most)..=most).filter_map(|parts| self.plan(demand, parts));
         let Some(plan) = plans.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
             return Err(Refusal::new(Cause::NoMemory, Duration::from_secs(1), demand.jitter));
         };
-        if plan.first > self.longest_wait(demand) {
+        if plan.first > self.longest_wait(demand) || plan.side > DAMAGE_MAX * value_of(demand) {
             return Err(self.too_late(demand, plan.first));
         }
         let chosen: Vec<&Candidate<'_>> = plan.parts.iter().map(|&i| &self.open[i]).collect();
@@ -364,29 +387,31 @@
     /// The best choice of `parts` engines, the writer first.
     fn plan(&self, demand: &Demand<'_>, parts: usize) -> Option<Plan> {
         let read = self.costs.read(demand.tokens, parts as u32);
-        let mut rated: Vec<(f64, f64, usize)> = self
+        let mut rated: Vec<(f64, f64, f64, usize)> = self
             .open
             .iter()
             .enumerate()
             .map(|(index, c)| {
                 let first = self.first(c, read);
-                let region = if c.rank < self.brief_width { REGION_PRICE } else { 0.0 };
+                let region = if c.rank < self.brief_width { BULK_REGION } else { 0.0 };
                 let wait = WAIT_PRICE * value_of(demand) * first / 1e3;
-                (self.damage(c, read) + region + wait, first, index)
+                (self.damage(c, read) + region, wait, first, index)
             })
             .collect();
-        rated.sort_by(|a, b| a.0.total_cmp(&b.0));
+        rated.sort_by(|a, b| (a.0 + a.1).total_cmp(&(b.0 + b.1)));
         rated.truncate(parts);
-        let first = rated.iter().map(|r| r.1).fold(0.0, f64::max);
+        let first = rated.iter().map(|r| r.2).fold(0.0, f64::max);
         let side: f64 = rated.iter().map(|r| r.0).sum();
         let pass = read + self.costs.pass(2, 0);
         let gap = if pass > GAP_USED * millis(demand.gap) { LATE * value_of(demand) * 0.3 } else { 0.0 };
-        let mut parts: Vec<usize> = rated.iter().map(|r| r.2).collect();
+        let mut parts: Vec<usize> = rated.iter().map(|r| r.3).collect();
         self.lead_first(&mut parts)?;
-        let cost = Self::lateness(demand, first) + side + gap + PART_PRICE * parts.len() as f64;
         let needed = demand.tokens + demand.output;
+        let tickets = if self.free(&self.open[parts[0]]) < needed { TICKET_PRICE } else { 0.0 };
+        let price = (PART_PRICE + tickets) * parts.len() as f64;
+        let cost = Self::lateness(demand, first) + side + gap + price;
         let room: u64 = parts.iter().map(|&i| self.free(&self.open[i])).sum();
-        (room >= needed).then_some(Plan { cost, first, parts })
+        (room >= needed).then_some(Plan { cost, first, side, parts })
     }
 
     /// Puts the engine with the most free memory that has a slot first.
@@ -435,10 +460,12 @@
         let key = parts[0].endpoint;
         let listing = self.open.iter().find(|c| c.key == key).map(|c| c.site.listing.clone());
         let listing = listing.expect("the writer is one of the open engines");
+        let rank = |key| self.open.iter().find(|c| c.key == key).map(|c| c.rank);
+        let ranks = parts.iter().filter_map(|p| rank(p.endpoint)).collect();
         let gap = demand.gap.as_millis() as u32;
         let value = value_of(demand) as f32;
         let expected = Duration::from_secs_f64(first / 1e3);
-        let grant = Grant { work, parts, granted: now, first: None, gap, value };
-        (key, grant, Placement { number: 0, key, listing, reserve, helpers, expected })
+        let grant = Grant { work, parts, granted: now, first: None, due: now + demand.first, gap, value };
+        (key, grant, Placement { number: 0, key, listing, reserve, helpers, ranks, expected })
     }
 }
--- a/chestnutstage_core/src/pool/plain.rs
+++ b/chestnutstage_core/src/pool/plain.rs
@@ -30,7 +30,7 @@
             return Err(Refusal::new(Cause::NoEndpoint, SLOT_TIME, demand.jitter));
         }
         let held = |key: &Key| loads.get(key).map_or(0, |l| l.held);
-        let cost = |(key, site): &(Key, &super::Site)| {
+        let cost = |(_, key, site): &(usize, Key, &super::Site)| {
             let away = self.zone.as_ref() != Some(&site.listing.zone);
             let fill = f64::from(held(key)) / f64::from(site.listing.slots.max(1));
             let zone = if away { ZONE_PRICE / f64::from(site.listing.slots.max(1)) } else { 0.0 };
@@ -38,20 +38,21 @@
         };
         let best = open
             .iter()
-            .filter(|(key, site)| held(key) < site.listing.slots.max(1) * (1 + WAITING_PER_SLOT))
+            .filter(|(_, key, site)| held(key) < site.listing.slots.max(1) * (1 + WAITING_PER_SLOT))
             .min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        let Some((key, site)) = best else {
+        let Some((rank, key, site)) = best else {
             return Err(Refusal::new(Cause::NoSlot, SLOT_TIME, demand.jitter));
         };
         let part = Part { endpoint: *key, read: 0.0, memory: 0, context: 0 };
         let grant =
-            Grant { work: Work::Plain, parts: vec![part], granted: now, first: None, gap: 0, value: 1.0 };
+            Grant { work: Work::Plain, parts: vec![part], granted: now, first: None, due: now + demand.first, gap: 0, value: 1.0 };
         let placement = Placement {
             number: 0,
             key: *key,
             listing: site.listing.clone(),
             reserve: 0,
             helpers: Vec::new(),
+            ranks: vec![*rank],
             expected: SLOT_TIME,
         };
         Ok((*key, grant, placement))
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -297,7 +297,8 @@
         let granted = Granted { shared: self.shared.clone(), number: placement.number };
         info!(
             request = self.id, route = self.route.name, endpoint:% = placement.listing.id,
-            tokens = self.prompt.tokens, helpers = placement.helpers.len(),
+            tokens = self.prompt.tokens, helpers = placement.helpers.len(), tickets = placement.reserve > 0,
+            parts = format!("{:?}", placement.ranks),
             expected_ms = placement.expected.as_millis() as u64; "placed"
         );
         self.tried.push(placement.key);
--- a/chestnutstage_gateway/src/knowledge.rs
+++ b/chestnutstage_gateway/src/knowledge.rs
@@ -28,7 +28,7 @@
 use crate::peers::PeerRules;
 
 /// Longest wait of a call for changes; its answer also proves that the knowledge is fresh.
-const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
+const FOLLOW_WAIT: Duration = Duration::from_millis(1_400);
 /// Longest wait for changes of the instances, which peers notice by themselves.
 const MEMBERS_WAIT: Duration = Duration::from_secs(20);
 /// Pause after a failed call.
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -25,16 +25,21 @@
 /// Longest pauses on time after which a silent stream is taken to another endpoint.
 const SILENT_GAPS: u32 = 3;
 /// Shortest silence that counts as a failure.
-const SILENT_MIN: Duration = Duration::from_millis(1_300);
+const SILENT_MIN: Duration = Duration::from_millis(1_600);
 /// Targets without a first event after which another endpoint is tried.
 const SILENT_FIRST: f64 = 2.0;
 
+/// Cause of a change of the endpoint when no event came.
+const SILENT: &str = "the stream fell silent";
+
 /// A stream of events on its way to a caller.
 struct Passage {
     exchange: Exchange,
     upstream: Option<Box<Upstream>>,
     last: Instant,
     begun: bool,
+    /// Longest pause between two events.
+    pause: Duration,
 }
 
 /// What came next on a stream.
@@ -51,7 +56,7 @@
     head.status = upstream.head.status;
     head.headers = upstream.head.headers.clone();
     drop_own(&mut head.headers);
-    let passage = Passage { exchange, upstream: Some(upstream), last: Instant::now(), begun: false };
+    let passage = Passage { exchange, upstream: Some(upstream), last: Instant::now(), begun: false, pause: Duration::ZERO };
     let frames = unfold(passage, |mut passage| async move {
         let item = passage.next().await?;
         Some((item.map(Frame::data), passage))
@@ -79,9 +84,9 @@
         }
     }
 
-    /// Ends an answer that can't be completed; its connection breaks. Asked again, there is nothing more.
+    /// Ends an answer that can't be completed: its connection breaks.
     fn give_up(&mut self, why: &str) -> Option<io::Result<Bytes>> {
-        self.upstream.take()?;
+        self.upstream = None;
         warn!(request = self.exchange.id, cause = why, events = self.exchange.relay.events(); "stream broken off");
         counter!("chestnutstage_streams_broken_total").increment(1);
         Some(Err(io::Error::other(why.to_owned())))
@@ -101,7 +106,7 @@
                 }
                 Ok(None) => return Next::End,
                 Err(_) if Instant::now() >= self.exchange.deadline => return Next::TimedOut,
-                Err(_) => return Next::Broken("the stream fell silent".into()),
+                Err(_) => return Next::Broken(SILENT.into()),
             };
             let Ok(data) = frame.into_data() else { continue };
             let events = if resumable { self.exchange.relay.take(&data) } else { data };
@@ -114,7 +119,9 @@
 
     fn note_events(&mut self) {
         let now = Instant::now();
-        if !self.begun {
+        if self.begun {
+            self.pause = self.pause.max(now.duration_since(self.last));
+        } else {
             self.note_first(now);
         }
         self.last = now;
@@ -157,7 +164,10 @@
     /// Goes on with another endpoint; gives whether that was possible.
     async fn resume(&mut self, why: &str) -> bool {
         let Some(broken) = self.upstream.take() else { return false };
-        self.exchange.blame(broken.key).await;
+        if why != SILENT {
+            // An engine that is only slow is found by its load reports.
+            self.exchange.blame(broken.key).await;
+        }
         drop(broken);
         loop {
             if self.exchange.route.repeat != Repeat::Resumable || !self.exchange.may_repeat() {
@@ -178,8 +188,6 @@
                 Attempt::Begun(_) | Attempt::Refused(_) | Attempt::Barred(_) => break,
             }
         }
-        warn!(request = self.exchange.id, cause = why, events = self.exchange.relay.events(); "stream broken off");
-        counter!("chestnutstage_streams_broken_total").increment(1);
         false
     }
 
@@ -187,7 +195,8 @@
     fn finish(&mut self) {
         let Some(upstream) = self.upstream.take() else { return };
         let events = self.exchange.relay.events();
-        info!(request = self.exchange.id, events; "stream complete");
+        let pause_ms = self.pause.as_millis() as u64;
+        info!(request = self.exchange.id, events, pause_ms; "stream complete");
         let closes = upstream.closes();
         let Upstream { channel, key, .. } = *upstream;
         if !closes {
--- a/chestnutstage_gateway/src/tickets.rs
+++ b/chestnutstage_gateway/src/tickets.rs
@@ -17,9 +17,9 @@
 use crate::outside::Engines;
 
 /// Lease of a reservation; shorter than the time in which unused memory must be free.
-const HOLD: Duration = Duration::from_millis(3_200);
-/// Interval of renewals: two may be lost before the lease ends.
-const RENEWAL: Duration = Duration::from_millis(1_000);
+const HOLD: Duration = Duration::from_millis(3_600);
+/// Interval of renewals: one may be lost before the lease ends.
+const RENEWAL: Duration = Duration::from_millis(1_400);
 /// Time limit for a reservation before a request is sent.
 const RESERVE_LIMIT: Duration = Duration::from_millis(250);
 
