--- a/chestnutstage_core/src/pool/load.rs
+++ b/chestnutstage_core/src/pool/load.rs
@@ -23,8 +23,10 @@
     pub(super) memory: u64,
     /// Time until all granted reads are done, in milliseconds at the published pace.
     pub(super) backlog: f64,
-    /// Reads of bulk requests that have not ended, in milliseconds.
+    /// Reads of bulk requests among them, in milliseconds.
     pub(super) bulk_reads: f64,
+    /// What is left of each read, in milliseconds.
+    rests: Vec<f64>,
     /// Longest pause that is on time and value, for each writer.
     writers: Vec<(u32, f32)>,
     /// Rest of the time until the first event is late, in milliseconds, and value, for each read.
@@ -39,6 +41,12 @@
         writers.chain(readers).map(f64::from).sum()
     }
 
+    /// Time that others take while a read of `read` milliseconds is done: an engine reads all waiting prompts in turn,
+    /// piece by piece.
+    pub(super) fn ahead(&self, read: f64) -> f64 {
+        self.rests.iter().map(|rest| rest.min(read)).sum()
+    }
+
     /// Worth that is lost when a pass lasts `longer` instead of `pass` milliseconds.
     pub(super) fn added_loss(&self, pass: f64, longer: f64) -> f64 {
         self.loss(longer) - self.loss(pass)
@@ -46,21 +54,34 @@
 }
 
 impl Pool {
+    /// Tokens of memory and requests that an endpoint is believed to hold.
+    pub fn believed(&self, now: Time, key: Key) -> (u64, u32) {
+        self.loads(now).get(&key).map_or((0, 0), |load| (load.memory, load.held))
+    }
+
     /// Loads of all endpoints that hold anything.
     pub(super) fn loads(&self, now: Time) -> HashMap<Key, Load> {
         let mut loads: HashMap<Key, Load> = HashMap::new();
-        let mut reads: HashMap<Key, Vec<(Time, f64)>> = HashMap::new();
+        let mut reads: HashMap<Key, Vec<Read>> = HashMap::new();
         for grant in self.grants() {
             add(now, &mut loads, grant);
             if grant.first.is_none() {
                 for part in &grant.parts {
-                    reads.entry(part.endpoint).or_default().push((grant.granted, f64::from(part.read)));
+                    reads.entry(part.endpoint).or_default().push(Read {
+                        granted: grant.granted.as_secs_f64() * 1e3,
+                        rest: f64::from(part.read),
+                        bulk: grant.work == Work::Bulk,
+                    });
                 }
             }
         }
-        for (key, mut queue) in reads {
-            queue.sort_by_key(|(granted, _)| *granted);
-            loads.entry(key).or_default().backlog = backlog(now, &queue);
+        for (key, reads) in reads {
+            let load = loads.entry(key).or_default();
+            for read in shared_rests(now.as_secs_f64() * 1e3, reads) {
+                load.backlog += read.rest;
+                load.bulk_reads += if read.bulk { read.rest } else { 0.0 };
+                load.rests.push(read.rest);
+            }
         }
         loads
     }
@@ -71,9 +92,6 @@
         let load = loads.entry(part.endpoint).or_default();
         load.memory += u64::from(part.memory);
         load.context += u64::from(part.context);
-        if grant.work == Work::Bulk && grant.first.is_none() {
-            load.bulk_reads += f64::from(part.read);
-        }
         if index > 0 {
             continue;
         }
@@ -91,16 +109,32 @@
     }
 }
 
-/// Time until reads that were granted in this order are done, in milliseconds.
-fn backlog(now: Time, reads: &[(Time, f64)]) -> f64 {
-    let now = now.as_secs_f64() * 1e3;
-    let mut done = 0.0_f64;
-    for (granted, read) in reads {
-        done = done.max(granted.as_secs_f64() * 1e3) + read;
-        if done < now {
-            // The read should have ended, but no event has come.
-            done = now + OVERDUE;
+/// A read that shares an engine with others.
+#[derive(Debug, Clone, Copy)]
+struct Read {
+    granted: f64,
+    rest: f64,
+    bulk: bool,
+}
+
+/// What is left of reads that share an engine evenly, each from the moment of its grant; all times in milliseconds.
+fn shared_rests(now: f64, mut reads: Vec<Read>) -> Vec<Read> {
+    reads.sort_by(|a, b| a.granted.total_cmp(&b.granted));
+    let mut time = reads.first().map_or(now, |r| r.granted);
+    for next in 1..=reads.len() {
+        let until = reads.get(next).map_or(now, |r| r.granted).min(now);
+        let mut left = (until - time).max(0.0);
+        while left > f64::EPSILON {
+            let open: Vec<usize> = (0..next).filter(|&i| reads[i].rest > 0.0).collect();
+            let Some(least) = open.iter().map(|&i| reads[i].rest).min_by(f64::total_cmp) else { break };
+            let count = open.len() as f64;
+            let step = least.min(left / count);
+            open.iter().for_each(|&i| reads[i].rest = (reads[i].rest - step).max(0.0));
+            left -= step * count;
         }
+        time = time.max(until);
     }
-    (done - now).max(0.0)
+    // No event has come yet of any of them: the last piece is still being read.
+    reads.iter_mut().for_each(|r| r.rest = r.rest.max(OVERDUE));
+    reads
 }
--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -25,8 +25,14 @@
 const BRIEFS_DENSE: u32 = 12;
 /// Reads that bulk work may have ahead for each of its engines, in milliseconds.
 const BULK_READS_LIKED: f64 = 250.0;
-/// Part of an answer's worth that others may lose by it; beyond that it is refused.
-const DAMAGE_MAX: f64 = 0.6;
+/// Reads ahead of each bulk engine at which all its time counts as used, in milliseconds.
+const BUSY_READS: f64 = 500.0;
+/// Worth that a busy engine earns in a second.
+const ENGINE_WORTH: f64 = 5.0;
+/// Share of the requests that are admitted although others would earn more, so that no length is shut out.
+const SPARED: f64 = 0.5;
+/// Part of the remaining time that the first event may take.
+const REMAINING_USED: f64 = 0.7;
 /// Slots of an engine that stay free for requests that other instances are placing at the same moment.
 const SPARE_SLOTS: u32 = 1;
 /// Engines that read a bulk prompt, at least: parts of a shared prompt go before other reads, so that a prompt which one
@@ -58,9 +64,7 @@
 const VALUE_TOKENS: f64 = 8_800.0;
 /// Share of an engine's memory that is planned; the rest covers output beyond the estimate.
 const MEMORY_USED: f64 = 0.96;
-/// Reads of this many targets are admitted late, so that the longest prompts are not shut out.
-const LONG_ALONE: f64 = 1.2;
-/// Longest wait for such reads, in targets.
+/// Longest wait for the first event of such requests, in targets.
 const LONG_WAIT: f64 = 1.8;
 /// Shortest time after which to come back.
 const RETRY_MIN: Duration = Duration::from_millis(300);
@@ -289,7 +293,7 @@
         let load = candidate.load;
         let pass = self.costs.pass(load.held + 1, load.context);
         let current = if load.held > 0 { pass / 2.0 } else { 0.0 };
-        (current + load.backlog + read + pass) * candidate.pace
+        (current + load.ahead(read) + read + pass) * candidate.pace
     }
 
     /// Worth lost by the writers at an engine in the pass that reads `read` more.
@@ -349,7 +353,9 @@
         let Some(plan) = plans.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
             return Err(Refusal::new(Cause::NoMemory, Duration::from_secs(1), demand.jitter));
         };
-        if plan.first > self.longest_wait(demand) || plan.side > DAMAGE_MAX * value_of(demand) {
+        let spared = demand.jitter < SPARED && plan.first < LONG_WAIT * millis(demand.first);
+        let gain = self.gain(demand, &plan);
+        if plan.first > REMAINING_USED * millis(demand.remaining) || (gain < 0.0 && !spared) {
             return Err(self.too_late(demand, plan.first));
         }
         let chosen: Vec<&Candidate<'_>> = plan.parts.iter().map(|&i| &self.open[i]).collect();
@@ -371,12 +377,16 @@
         Ok(self.placed(now, demand, Work::Bulk, parts, plan.first, helpers, reserve))
     }
 
-    /// Longest wait for the first event with which a request is admitted, in milliseconds.
-    fn longest_wait(&self, demand: &Demand<'_>) -> f64 {
-        let target = millis(demand.first);
-        let alone = self.costs.read(demand.tokens, 1);
-        let wait = if alone > LONG_ALONE * target { target * LONG_WAIT } else { target };
-        wait.min(millis(demand.remaining) * 0.7)
+    /// Worth that is won by admitting a request: its own, less what others lose by it and what the engines could do in
+    /// the time, which counts by how much they have ahead.
+    fn gain(&self, demand: &Demand<'_>, plan: &Plan) -> f64 {
+        let late = plan.first > millis(demand.first);
+        let own = value_of(demand) * if late { 1.0 - LATE } else { 1.0 };
+        let ahead: f64 = self.open.iter().map(|c| c.load.bulk_reads).sum();
+        let engines = self.open.len().saturating_sub(self.brief_width).max(1) as f64;
+        let busy = (ahead / (engines * BUSY_READS)).min(1.0);
+        let work = self.costs.read(demand.tokens, 1) / 1e3;
+        own - plan.side - work * ENGINE_WORTH * busy
     }
 
     fn too_late(&self, demand: &Demand<'_>, first: f64) -> Refusal {
--- a/chestnutstage_gateway/src/dispatcher.rs
+++ b/chestnutstage_gateway/src/dispatcher.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
-use crate::outside::Fact;
+use crate::outside::{Fact, Report};
 use crate::settings::Bounds;
 
 /// Keeper of the pool.
@@ -224,14 +224,16 @@
     }
 }
 
-/// An engine reported its pace.
-pub(crate) struct Paced(pub(crate) Key, pub(crate) f32);
+/// An engine reported its load; gives the memory and the requests that the pool believes it to hold.
+pub(crate) struct Reported(pub(crate) Key, pub(crate) Report);
 
-impl Message<Paced> for Dispatcher {
-    type Reply = ();
+impl Message<Reported> for Dispatcher {
+    type Reply = Option<(u64, u32)>;
 
-    async fn handle(&mut self, msg: Paced, _: &mut Context<Self, Self::Reply>) {
-        self.pool.set_pace(self.clock.now(), msg.0, msg.1);
+    async fn handle(&mut self, msg: Reported, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.clock.now();
+        self.pool.set_pace(now, msg.0, msg.1.pace);
+        Some(self.pool.believed(now, msg.0))
     }
 }
 
--- a/chestnutstage_gateway/src/watch.rs
+++ b/chestnutstage_gateway/src/watch.rs
@@ -14,7 +14,7 @@
 use metrics::counter;
 use tokio::time::{sleep, timeout};
 
-use crate::dispatcher::{Failed, ListEngines, Paced};
+use crate::dispatcher::{Failed, ListEngines, Reported};
 use crate::peers::Peers;
 use crate::shared::Shared;
 
@@ -64,9 +64,14 @@
     if report.pace >= SLOW {
         info!(endpoint:% = listing.id, pace = report.pace, waiting = report.waiting; "slow engine");
     }
-    if shared.dispatcher.tell(Paced(key, report.pace)).await.is_err() {
+    let Ok(Some((memory, held))) = shared.dispatcher.ask(Reported(key, report)).await else {
         warn!("the dispatcher is gone");
-    }
+        return;
+    };
+    info!(
+        endpoint:% = listing.id, used = report.used, believed = memory, running = report.running,
+        waiting = report.waiting, held; "engine load"
+    );
 }
 
 async fn missed(shared: &Shared, key: Key, listing: &Listing, misses: &mut u32, why: &str) {
