--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -151,6 +151,7 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     zone: Option<ZoneId>,
+    seed: u64,
     sites: BTreeMap<Key, Site>,
     engines: HashMap<ModelId, Costs>,
     cold_rates: HashMap<ModelId, f64>,
@@ -162,9 +163,9 @@
 }
 
 impl Pool {
-    /// An empty pool of an instance in `zone`.
-    pub fn new(zone: ZoneId) -> Self {
-        Self { zone: Some(zone), ..Self::default() }
+    /// An empty pool of an instance in `zone`; `seed` differs between instances.
+    pub fn new(zone: ZoneId, seed: u64) -> Self {
+        Self { zone: Some(zone), seed, ..Self::default() }
     }
 
     /// Takes the batch costs and the cold rate of a service; the rate holds for all instances together.
--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::load::Load;
 use super::{Grant, Key, Listing, Part, Pool, Site, Work};
@@ -28,9 +29,11 @@
 /// Reads ahead of each bulk engine at which all its time counts as used, in milliseconds.
 const BUSY_READS: f64 = 500.0;
 /// Worth that a busy engine earns in a second.
-const ENGINE_WORTH: f64 = 5.0;
+const ENGINE_WORTH: f64 = 6.0;
 /// Share of the requests that are admitted although others would earn more, so that no length is shut out.
-const SPARED: f64 = 0.5;
+const SPARED: f64 = 0.55;
+/// Part of such a request's worth by which it may fall short.
+const SPARED_LOSS: f64 = 0.6;
 /// Part of the remaining time that the first event may take.
 const REMAINING_USED: f64 = 0.7;
 /// Slots of an engine that stay free for requests that other instances are placing at the same moment.
@@ -52,12 +55,16 @@
 const PART_PRICE: f64 = 0.04;
 /// Worth that a reservation must save.
 const TICKET_PRICE: f64 = 0.06;
+/// Worth by which instances differ in their liking of an engine.
+const TASTE_PRICE: f64 = 0.08;
+/// Free memory by which they differ in their liking of a writer, in parts of it.
+const TASTE_LEAD: f64 = 1.0;
 /// Worth of a second of waiting, in parts of the answer's worth.
 const WAIT_PRICE: f64 = 0.1;
 /// Worth lost when brief work goes to an engine that is meant for bulk work.
 const BRIEF_REGION: f64 = 0.6;
 /// Worth lost when a part of bulk work goes to an engine that is meant for brief work.
-const BULK_REGION: f64 = 2.0;
+const BULK_REGION: f64 = 3.0;
 /// Worth of an answer whose prompt is empty; the users price a long prompt by its length.
 const VALUE_BASE: f64 = 0.7;
 /// Tokens that add one unit of worth.
@@ -163,6 +170,8 @@
     load: &'a Load,
     rank: usize,
     pace: f64,
+    /// Number between zero and one by which instances that choose at the same moment differ.
+    taste: f64,
 }
 
 /// Engines of one service, and how many of them are meant for brief work.
@@ -221,6 +230,11 @@
         if sound.is_empty() { open } else { sound }
     }
 
+    /// This instance's liking of an endpoint, between zero and one.
+    fn taste(&self, key: Key) -> f64 {
+        xxh3_64_with_seed(&key.0.to_le_bytes(), self.seed) as f64 / u64::MAX as f64
+    }
+
     fn place_prompt(
         &self,
         now: Time,
@@ -238,6 +252,7 @@
                 load: loads.get(&key).unwrap_or(&idle),
                 rank,
                 pace: site.pace(now),
+                taste: self.taste(key),
             })
             .collect();
         if open.is_empty() {
@@ -304,11 +319,17 @@
         LATE * load.added_loss(pass * factor, (pass + read) * factor)
     }
 
-    /// Worth of the request that is lost when its first event takes `first` milliseconds.
-    fn lateness(demand: &Demand<'_>, first: f64) -> f64 {
+    /// Worth of the request that is lost when its first event takes `first` and a pass after it `pass` milliseconds.
+    fn lateness(demand: &Demand<'_>, first: f64, pass: f64) -> f64 {
         let value = value_of(demand);
-        let wait = WAIT_PRICE * value * first / 1e3;
-        if first > FIRST_USED * millis(demand.first) { wait + LATE * value } else { wait }
+        let late = first > FIRST_USED * millis(demand.first) || pass > GAP_USED * millis(demand.gap);
+        WAIT_PRICE * value * first / 1e3 + if late { LATE * value } else { 0.0 }
+    }
+
+    /// Longest pass of an engine while its reads and one of `read` milliseconds are done.
+    fn longest_pass(&self, candidate: &Candidate<'_>, read: f64) -> f64 {
+        let load = candidate.load;
+        (self.costs.pass(load.held + 1, load.context) + load.backlog + read) * candidate.pace
     }
 
     fn has_slot(&self, candidate: &Candidate<'_>) -> bool {
@@ -325,7 +346,7 @@
         let memory = demand.tokens + demand.output;
         let rate = |c: &Candidate<'_>| {
             let first = self.first(c, read);
-            let own = Self::lateness(demand, first);
+            let own = Self::lateness(demand, first, self.longest_pass(c, read));
             let region = if c.rank < self.brief_width { 0.0 } else { BRIEF_REGION };
             let crowd = f64::from(c.load.held) * 0.01;
             (own + self.damage(c, read) + region + crowd, first)
@@ -353,8 +374,10 @@
         let Some(plan) = plans.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
             return Err(Refusal::new(Cause::NoMemory, Duration::from_secs(1), demand.jitter));
         };
-        let spared = demand.jitter < SPARED && plan.first < LONG_WAIT * millis(demand.first);
         let gain = self.gain(demand, &plan);
+        let spared = demand.jitter < SPARED
+            && plan.first < LONG_WAIT * millis(demand.first)
+            && gain > -SPARED_LOSS * value_of(demand);
         if plan.first > REMAINING_USED * millis(demand.remaining) || (gain < 0.0 && !spared) {
             return Err(self.too_late(demand, plan.first));
         }
@@ -405,30 +428,36 @@
                 let first = self.first(c, read);
                 let region = if c.rank < self.brief_width { BULK_REGION } else { 0.0 };
                 let wait = WAIT_PRICE * value_of(demand) * first / 1e3;
-                (self.damage(c, read) + region, wait, first, index)
+                (self.damage(c, read) + region + TASTE_PRICE * c.taste, wait, first, index)
             })
             .collect();
         rated.sort_by(|a, b| (a.0 + a.1).total_cmp(&(b.0 + b.1)));
         rated.truncate(parts);
         let first = rated.iter().map(|r| r.2).fold(0.0, f64::max);
         let side: f64 = rated.iter().map(|r| r.0).sum();
-        let pass = read + self.costs.pass(2, 0);
-        let gap = if pass > GAP_USED * millis(demand.gap) { LATE * value_of(demand) * 0.3 } else { 0.0 };
         let mut parts: Vec<usize> = rated.iter().map(|r| r.3).collect();
-        self.lead_first(&mut parts)?;
         let needed = demand.tokens + demand.output;
+        self.lead_first(&mut parts, needed)?;
+        let pass = self.longest_pass(&self.open[parts[0]], read);
         let tickets = if self.free(&self.open[parts[0]]) < needed { TICKET_PRICE } else { 0.0 };
         let price = (PART_PRICE + tickets) * parts.len() as f64;
-        let cost = Self::lateness(demand, first) + side + gap + price;
+        let cost = Self::lateness(demand, first, pass) + side + price;
         let room: u64 = parts.iter().map(|&i| self.free(&self.open[i])).sum();
         (room >= needed).then_some(Plan { cost, first, side, parts })
     }
 
-    /// Puts the engine with the most free memory that has a slot first.
-    fn lead_first(&self, parts: &mut [usize]) -> Option<()> {
+    /// Puts the writer first: an engine with a slot and much free memory. Instances that choose at the same moment differ
+    /// among those with enough of it, so that one engine is not promised twice.
+    fn lead_first(&self, parts: &mut [usize], needed: u64) -> Option<()> {
+        let liking = |p: usize| {
+            let candidate = &self.open[parts[p]];
+            let free = self.free(candidate);
+            let taste = if free >= needed { candidate.taste } else { 0.0 };
+            free as f64 * (1.0 + TASTE_LEAD * taste)
+        };
         let lead = (0..parts.len())
             .filter(|&p| self.has_slot(&self.open[parts[p]]))
-            .max_by_key(|&p| self.free(&self.open[parts[p]]))?;
+            .max_by(|&a, &b| liking(a).total_cmp(&liking(b)))?;
         parts.swap(0, lead);
         Some(())
     }
--- a/chestnutstage_gateway/src/dispatcher.rs
+++ b/chestnutstage_gateway/src/dispatcher.rs
@@ -28,7 +28,7 @@
 impl Dispatcher {
     /// A dispatcher of an instance in `zone`; `granted` is notified of each new grant.
     pub(crate) fn new(zone: ZoneId, clock: Clock, bounds: Bounds, granted: Arc<Notify>) -> Self {
-        Self { pool: Pool::new(zone), clock, bounds, granted }
+        Self { pool: Pool::new(zone, rand::random()), clock, bounds, granted }
     }
 }
 
--- a/chestnutstage_gateway/src/front.rs
+++ b/chestnutstage_gateway/src/front.rs
@@ -131,18 +131,23 @@
     }
 }
 
-/// Takes callers' connections, for ever. `closing` turns true when idle connections are to be closed.
+/// Takes callers' connections until `closing` turns true; then the port is closed, so that callers who still come find
+/// out at once and go elsewhere.
 pub(crate) async fn listen(shared: Arc<Shared>, listener: TcpListener, closing: watch::Receiver<bool>) {
+    let mut stop = closing.clone();
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                counter!("chestnutstage_caller_connections_total").increment(1);
-                tokio::spawn(connection(shared.clone(), stream, closing.clone()));
-            }
-            Err(e) => {
-                warn!("a caller's connection can't be accepted: {e}");
-                sleep(ACCEPT_PAUSE).await;
-            }
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    counter!("chestnutstage_caller_connections_total").increment(1);
+                    tokio::spawn(connection(shared.clone(), stream, closing.clone()));
+                }
+                Err(e) => {
+                    warn!("a caller's connection can't be accepted: {e}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            _ = stop.changed() => return,
         }
     }
 }
