--- a/chestnutstage_core/src/pool/load.rs
+++ b/chestnutstage_core/src/pool/load.rs
@@ -29,7 +29,7 @@
     rests: Vec<f64>,
     /// Longest pause that is on time and value, for each writer.
     writers: Vec<(u32, f32)>,
-    /// Rest of the time until the first event is late, in milliseconds, and value, for each read.
+    /// The same for each read whose writing begins soon; the time until its first event is late counts as a pause.
     readers: Vec<(f64, f32)>,
 }
 
@@ -104,7 +104,8 @@
         if grant.first.is_some() {
             load.writers.push((grant.gap, grant.value));
         } else {
-            load.readers.push((grant.due.since(now).as_secs_f64() * 1e3, grant.value));
+            let rest = grant.due.since(now).as_secs_f64() * 1e3;
+            load.readers.push((rest.min(f64::from(grant.gap)), grant.value));
         }
     }
 }
