--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -160,6 +160,8 @@
     peers: BTreeMap<InstanceId, Peer>,
     next: u64,
     instances: usize,
+    /// Most instances that were known at a time.
+    most: usize,
 }
 
 impl Pool {
@@ -177,9 +179,10 @@
         };
     }
 
-    /// Takes the number of instances of the deployment that are known; the largest one counts.
+    /// Takes the number of instances of the deployment that are known.
     pub fn set_instances(&mut self, count: usize) {
-        self.instances = self.instances.max(count);
+        self.instances = count;
+        self.most = self.most.max(count);
     }
 
     /// Takes the zones to which nothing may be sent.
@@ -339,9 +342,14 @@
         self.mine.values().chain(self.peers.values().flat_map(|p| &p.snapshot.grants))
     }
 
+    /// Instances for each one whose grants are known; over one while links are down.
+    fn unseen(&self) -> f64 {
+        self.instances.max(1) as f64 / (self.peers.len() + 1) as f64
+    }
+
     /// Instances among which shared rates are divided, this one included.
     fn sharers(&self) -> usize {
-        self.instances.max(self.peers.len() + 1).max(SHARERS_MIN)
+        self.most.max(self.peers.len() + 1).max(SHARERS_MIN)
     }
 }
 
--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -59,6 +59,10 @@
 const TASTE_PRICE: f64 = 0.08;
 /// Free memory by which they differ in their liking of a writer, in parts of it.
 const TASTE_LEAD: f64 = 1.0;
+/// Worth of one more request beside others.
+const CROWD_PRICE: f64 = 0.01;
+/// Instances for each known one from which the known grants say too little to keep brief and bulk work apart.
+const BLIND: f64 = 2.0;
 /// Worth of a second of waiting, in parts of the answer's worth.
 const WAIT_PRICE: f64 = 0.1;
 /// Worth lost when brief work goes to an engine that is meant for bulk work.
@@ -179,6 +183,8 @@
     costs: &'a Costs,
     open: Vec<Candidate<'a>>,
     brief_width: usize,
+    /// Instances for each one whose grants are known.
+    unseen: f64,
 }
 
 /// A way to place a request and what it costs.
@@ -259,8 +265,9 @@
             return Err(Refusal::new(Cause::NoEndpoint, RETRY_MIN, demand.jitter));
         }
         let work = work_of(costs, demand);
-        let brief_width = brief_width(&open);
-        let engines = Engines { costs, open, brief_width };
+        let unseen = self.unseen();
+        let brief_width = brief_width(&open, unseen);
+        let engines = Engines { costs, open, brief_width, unseen };
         match work {
             Work::Bulk => engines.place_bulk(now, demand),
             _ => engines.place_brief(now, demand),
@@ -281,9 +288,13 @@
 }
 
 /// Engines that are meant for brief work, counted from the start of the order: as many as it likes while bulk work leaves
-/// them, and no fewer than it needs.
-fn brief_width(open: &[Candidate<'_>]) -> usize {
-    let briefs: u32 = open.iter().map(|c| c.load.briefs).sum::<u32>() + 1;
+/// them, and no fewer than it needs. Instances whose grants are not known have `unseen` times as many as the others.
+fn brief_width(open: &[Candidate<'_>], unseen: f64) -> usize {
+    let known: u32 = open.iter().map(|c| c.load.briefs).sum();
+    if unseen >= BLIND {
+        return open.len();
+    }
+    let briefs = (f64::from(known) * unseen).ceil() as u32 + 1;
     let liked = briefs.div_ceil(BRIEFS_LIKED) as usize + 1;
     let needed = briefs.div_ceil(BRIEFS_DENSE) as usize;
     let bulk_reads: f64 = open.iter().map(|c| c.load.bulk_reads).sum();
@@ -348,7 +359,7 @@
             let first = self.first(c, read);
             let own = Self::lateness(demand, first, self.longest_pass(c, read));
             let region = if c.rank < self.brief_width { 0.0 } else { BRIEF_REGION };
-            let crowd = f64::from(c.load.held) * 0.01;
+            let crowd = f64::from(c.load.held) * CROWD_PRICE + c.taste * (self.unseen - 1.0).min(1.0);
             (own + self.damage(c, read) + region + crowd, first)
         };
         let best = self
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -38,10 +38,13 @@
 const ALPN: &[u8] = b"chestnutstage-gateway/1";
 /// Silence after which a connection is dead.
 const IDLE_LIMIT_MS: u32 = 2_500;
-/// Time limit for a connection to open.
-const CONNECT_LIMIT: Duration = Duration::from_millis(900);
-/// Pause before a connection is tried again.
-const CONNECT_PAUSE: Duration = Duration::from_millis(400);
+/// Time limit for a connection to open: a peer that starts at the same time may have no port yet, and the transport
+/// repeats its first packet only after a second.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Pause before a connection is tried again; doubles up to [`CONNECT_PAUSE_MAX`].
+const CONNECT_PAUSE: Duration = Duration::from_millis(60);
+/// Longest pause between tries.
+const CONNECT_PAUSE_MAX: Duration = Duration::from_secs(1);
 /// Interval of messages when nothing is granted.
 const TELL_INTERVAL: Duration = Duration::from_millis(100);
 /// Peers up to which that interval holds; it grows with their number.
@@ -231,6 +234,7 @@
     }
 
     async fn keep_open(self: Arc<Self>, member: Member) {
+        let mut pause = CONNECT_PAUSE;
         loop {
             let connecting = match self.endpoint.connect(member.address, NAME) {
                 Ok(connecting) => connecting,
@@ -243,11 +247,13 @@
                 Ok(Ok(connection)) => {
                     self.send_state(&connection).await;
                     self.clone().hear(connection).await;
+                    pause = CONNECT_PAUSE;
                 }
                 Ok(Err(e)) => debug!(peer:% = member.id; "connection: {e}"),
                 Err(_) => debug!(peer:% = member.id; "connection: no answer"),
             }
-            sleep(CONNECT_PAUSE).await;
+            sleep(pause).await;
+            pause = (pause * 2).min(CONNECT_PAUSE_MAX);
         }
     }
 
