--- /dev/null
+++ b/chestnutstage_core/tests/catalog.rs
@@ -0,0 +1,92 @@
+//! Routes, customers and versions of the catalog.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chestnutstage_core::catalog::{
+    Account, CallerLimits, Catalog, Directory, Repeat, Route, Share, Target,
+};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Target { first: Duration::from_millis(120), gap: Duration::ZERO },
+        rank: 1,
+        shares: vec![Share { service: "s".into(), weight: 1 }],
+        attempts: 1,
+        anonymous: false,
+    }
+}
+
+fn directory(version: u64, routes: Vec<Route>) -> Directory {
+    let customers = vec![Account { id: "town".into(), keys: vec!["k1".into(), "k2".into()], rank: None }];
+    let limits = CallerLimits {
+        headers: 8_192,
+        body: 1_024,
+        header_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    };
+    Directory::from(Catalog { version, routes, services: BTreeMap::new(), customers, limits })
+}
+
+fn found<'a>(directory: &'a Directory, host: &str, path: &str) -> Option<&'a str> {
+    directory.route(host, path).map(|r| r.name.as_str())
+}
+
+#[test]
+fn longest_prefix() {
+    let routes = vec![route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/")];
+    let directory = directory(1, routes);
+    assert_eq!(found(&directory, "h", "/a/b/c/x"), Some("long"));
+    assert_eq!(found(&directory, "h", "/a/x"), Some("short"));
+    assert_eq!(found(&directory, "h", "/a"), None, "a prefix ends with a slash");
+    assert_eq!(found(&directory, "g", "/a/x"), None);
+}
+
+#[test]
+fn host_spelling() {
+    let directory = directory(1, vec![route("r", "Some.Example", "/")]);
+    assert_eq!(found(&directory, "some.example", "/x"), Some("r"));
+    assert_eq!(found(&directory, "SOME.example:8080", "/x"), Some("r"));
+    assert_eq!(found(&directory, "else.example", "/x"), None);
+}
+
+#[test]
+fn customer_keys() {
+    let directory = directory(1, Vec::new());
+    assert!(directory.asks_keys());
+    assert_eq!(directory.customer("k2").map(|c| c.id.as_str()), Some("town"));
+    assert!(directory.customer("k3").is_none());
+}
+
+#[test]
+fn weighted_shares() {
+    let mut route = route("r", "h", "/");
+    route.shares =
+        vec![Share { service: "a".into(), weight: 90 }, Share { service: "b".into(), weight: 10 }];
+    let to_b = |n: &u32| route.service(format!("request-{n}").as_bytes()).unwrap().as_str() == "b";
+    let count = (0..10_000).filter(to_b).count();
+    assert!((900..1_100).contains(&count), "{count} of 10,000 go to the share of 10 in 100");
+    let twice = |id: &str| route.service(id.as_bytes()) == route.service(id.as_bytes());
+    assert!(twice("x"), "a request keeps its service");
+    route.shares.clear();
+    assert!(route.service(b"x").is_none());
+}
+
+#[test]
+fn rising_versions() {
+    let (old, new) = (directory(3, Vec::new()), directory(7, Vec::new()));
+    assert!(new.supersedes(&old));
+    assert!(!old.supersedes(&new));
+    assert!(!new.supersedes(&new));
+}
+
+#[test]
+fn repeatable_kinds() {
+    assert!(Repeat::Idempotent.is_repeatable() && Repeat::Resumable.is_repeatable());
+    assert!(!Repeat::Once.is_repeatable() && !Repeat::Stream.is_repeatable());
+}
--- /dev/null
+++ b/chestnutstage_core/tests/common/engines.rs
@@ -0,0 +1,116 @@
+//! Engines on virtual time, as far as the replays of load patterns need them.
+//!
+//! An engine works in passes: it admits what waits while slots are free, reads a piece of each waiting prompt in every
+//! step, and gives each writer one event at the end of a pass.
+
+use std::collections::BTreeMap;
+
+use chestnutstage_core::engine::Costs;
+use chestnutstage_core::pool::Key;
+
+/// Costs that the users publish for their engines.
+pub const COSTS: Costs = Costs {
+    step: 1.02,
+    writer: 0.002_26,
+    context: 0.004_31,
+    rate: 206.0,
+    pairs: 0.138,
+    chunk: 2_048,
+    stride: 43,
+    slots: 16,
+    memory: 232_000,
+    hop: 0.075,
+};
+
+/// Work of one request on one engine.
+#[derive(Debug, Clone)]
+struct Job {
+    request: usize,
+    read: f64,
+    context: u64,
+    /// Events to write; none on engines that only help.
+    events: u32,
+    started: bool,
+}
+
+/// What a pass gave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// A part of the prompt was read.
+    Read(usize),
+    /// An event was written.
+    Written(usize),
+    /// The last event was written.
+    Ended(usize),
+}
+
+/// One engine.
+#[derive(Debug, Default)]
+pub struct Engine {
+    jobs: Vec<Job>,
+    waiting: Vec<Job>,
+    /// Requests whose other parts are read, too.
+    ready: Vec<usize>,
+    busy_until: f64,
+    pending: Vec<Event>,
+}
+
+/// All engines.
+#[derive(Debug, Default)]
+pub struct Engines {
+    pub engines: BTreeMap<Key, Engine>,
+}
+
+impl Engine {
+    /// Takes a part of a prompt; `events` are written here once all parts are read.
+    pub fn take(&mut self, request: usize, read: f64, context: u64, events: u32) {
+        self.waiting.push(Job { request, read, context, events, started: false });
+    }
+
+    /// All parts of a request are read.
+    pub fn set_ready(&mut self, request: usize) {
+        self.ready.push(request);
+    }
+
+    /// Runs a pass that begins at `now` if the last one is over; gives what the last one wrote.
+    pub fn run(&mut self, now: f64) -> Vec<Event> {
+        if now < self.busy_until {
+            return Vec::new();
+        }
+        let events = std::mem::take(&mut self.pending);
+        let room = (COSTS.slots as usize).saturating_sub(self.jobs.len());
+        self.jobs.extend(self.waiting.drain(..room.min(self.waiting.len())));
+        if self.jobs.is_empty() {
+            return events;
+        }
+        self.busy_until = now + self.pass();
+        events
+    }
+
+    /// Works one pass through; gives its length in milliseconds.
+    fn pass(&mut self) -> f64 {
+        let ready = &self.ready;
+        let writes = |j: &Job| j.read <= 0.0 && j.events > 0 && ready.contains(&j.request);
+        let writers = self.jobs.iter().filter(|j| writes(j)).count() as u32;
+        let context = self.jobs.iter().filter(|j| writes(j)).map(|j| j.context).sum();
+        let mut length = if writers > 0 { COSTS.pass(writers, context) } else { COSTS.step };
+        for job in &mut self.jobs {
+            if writes(job) {
+                job.events -= 1;
+                let end = job.events == 0;
+                self.pending.push(if end { Event::Ended(job.request) } else { Event::Written(job.request) });
+            } else if job.read > 0.0 {
+                length += job.read;
+                job.read = 0.0;
+                job.started = true;
+                self.pending.push(Event::Read(job.request));
+            }
+        }
+        let pending = &self.pending;
+        self.jobs.retain(|j| {
+            let read = j.events == 0 && j.started && j.read <= 0.0;
+            !read && !pending.contains(&Event::Ended(j.request))
+        });
+        length
+    }
+}
--- /dev/null
+++ b/chestnutstage_core/tests/placement.rs
@@ -0,0 +1,275 @@
+//! Placement of single requests on a known load.
+
+mod common;
+#[path = "common/engines.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod engines;
+
+use std::time::Duration;
+
+use chestnutstage_core::ids::ModelId;
+use chestnutstage_core::pool::{Cause, Demand, Key, Listing, Placement, Pool, RELISTING, Refusal, SILENCE};
+use chestnutstage_core::time::Time;
+use common::at;
+use engines::COSTS;
+
+const LLM: &str = "llm";
+const DESK: &str = "desk";
+
+fn listing(id: &str, service: &str, zone: &str, slots: u32) -> Listing {
+    let number: u16 = id.bytes().map(u16::from).sum();
+    Listing {
+        id: id.into(),
+        address: ([127, 0, 0, 1], 1_000 + number).into(),
+        zone: zone.into(),
+        service: service.into(),
+        slots,
+        leaving: false,
+        born: 1,
+        cold: 0,
+    }
+}
+
+fn pool(engines: usize) -> Pool {
+    let mut pool = Pool::new("a".into(), 1);
+    pool.set_instances(1);
+    pool.set_service(LLM.into(), Some(COSTS), 0.0);
+    pool.set_service(DESK.into(), None, 0.0);
+    for n in 0..engines {
+        pool.list(at(0), listing(&format!("e{n}"), LLM, ["a", "b", "c"][n % 3], 16));
+    }
+    pool
+}
+
+fn demand(service: &ModelId, tokens: u64) -> Demand<'_> {
+    let (first, gap) = match tokens {
+        0..24_000 => (300, 250),
+        24_000..80_000 => (1_500, 600),
+        _ => (2_500, 1_000),
+    };
+    Demand {
+        service,
+        tokens,
+        output: 1_400,
+        first: Duration::from_millis(first),
+        gap: Duration::from_millis(gap),
+        remaining: Duration::from_secs(10),
+        tried: &[],
+        jitter: 0.9,
+    }
+}
+
+fn place(pool: &mut Pool, now: Time, tokens: u64) -> Result<Placement, Refusal> {
+    pool.place(now, &demand(&LLM.into(), tokens))
+}
+
+#[test]
+fn idle_pool() {
+    let placement = place(&mut pool(18), at(0), 5_000).unwrap();
+    assert!(placement.helpers.is_empty());
+    assert!(placement.expected < Duration::from_millis(150), "{:?}", placement.expected);
+}
+
+#[test]
+fn long_prompt_shared() {
+    let placement = place(&mut pool(18), at(0), 133_000).unwrap();
+    assert!(!placement.helpers.is_empty(), "1.9 s alone; parts come sooner and go before other reads");
+    assert!(placement.expected < Duration::from_millis(2_500));
+    assert_eq!(placement.reserve, 0, "one engine's memory holds it");
+}
+
+#[test]
+fn beyond_one_memory() {
+    let placement = place(&mut pool(18), at(0), 400_000).unwrap();
+    let reserved: u64 = placement.reserve + placement.helpers.iter().map(|h| h.reserve).sum::<u64>();
+    assert!(reserved >= 401_400, "{reserved}");
+    assert!(placement.helpers.len() < 16, "sixteen engines may be named, the writer among them");
+    assert!(placement.helpers.iter().all(|h| h.reserve <= COSTS.memory));
+}
+
+#[test]
+fn beyond_all_memory() {
+    let refusal = place(&mut pool(2), at(0), 500_000).unwrap_err();
+    assert_eq!(refusal.cause, Cause::NoMemory);
+    assert!(refusal.retry >= Duration::from_millis(300) && refusal.retry <= Duration::from_millis(4_500));
+}
+
+#[test]
+fn brief_apart_from_bulk() {
+    let mut pool = pool(18);
+    let brief: Vec<Key> = (0..8).map(|n| place(&mut pool, at(n * 30), 4_000).unwrap().key).collect();
+    let bulk = place(&mut pool, at(300), 133_000).unwrap();
+    let parts: Vec<Key> = bulk.helpers.iter().map(|h| h.key).chain([bulk.key]).collect();
+    assert!(parts.iter().all(|part| !brief.contains(part)), "no long read beside brief writers");
+    let next = place(&mut pool, at(320), 4_000).unwrap();
+    assert!(!parts.contains(&next.key), "no brief prompt beside a long read");
+}
+
+#[test]
+fn full_slots() {
+    let mut pool = pool(2);
+    let refusal = (0..64).find_map(|n| place(&mut pool, at(n), 100).err()).unwrap();
+    assert!(pool.held() <= 32, "no more than the engines run at a time: {}", pool.held());
+    assert!(matches!(refusal.cause, Cause::NoSlot | Cause::TooLate));
+}
+
+#[test]
+fn ended_grant() {
+    let mut pool = pool(1);
+    let numbers: Vec<u64> = std::iter::from_fn(|| place(&mut pool, at(0), 100).ok().map(|p| p.number)).collect();
+    assert!(place(&mut pool, at(1), 100).is_err());
+    pool.end(numbers[0]);
+    assert!(place(&mut pool, at(2), 100).is_ok(), "a place is free again");
+}
+
+#[test]
+fn no_endpoint() {
+    assert_eq!(place(&mut pool(0), at(0), 100).unwrap_err().cause, Cause::NoEndpoint);
+}
+
+#[test]
+fn zone_out() {
+    let mut pool = pool(3);
+    pool.set_zones_out(vec!["a".into(), "b".into()]);
+    for n in 0..6 {
+        let placement = place(&mut pool, at(n), 1_000).unwrap();
+        assert_eq!(placement.listing.zone.as_str(), "c");
+        assert!(pool.is_open(at(n), placement.key));
+        pool.set_zones_out(vec!["a".into(), "b".into(), "c".into()]);
+        assert!(!pool.is_open(at(n), placement.key), "asked again right before the send");
+        pool.set_zones_out(vec!["a".into(), "b".into()]);
+    }
+}
+
+#[test]
+fn leaving_endpoint() {
+    let mut pool = pool(1);
+    let mut leaving = listing("e0", LLM, "a", 16);
+    leaving.leaving = true;
+    let key = pool.list(at(1), leaving);
+    assert!(!pool.is_open(at(1), key));
+    assert_eq!(place(&mut pool, at(1), 100).unwrap_err().cause, Cause::NoEndpoint);
+}
+
+#[test]
+fn lapsed_listing() {
+    let mut pool = pool(1);
+    pool.unlist(at(0), &"e0".into(), true);
+    assert!(place(&mut pool, at(100), 100).is_ok(), "after an outage of the list it may come back");
+    let late = at(0) + RELISTING;
+    assert!(place(&mut pool, late, 100).is_err(), "what did not come back is gone");
+    let mut pool = self::pool(1);
+    pool.unlist(at(0), &"e0".into(), false);
+    assert!(place(&mut pool, at(0), 100).is_err());
+}
+
+#[test]
+fn another_life() {
+    let mut pool = pool(1);
+    let first = place(&mut pool, at(0), 100).unwrap();
+    let mut reborn = listing("e0", LLM, "a", 16);
+    reborn.born = 2;
+    let key = pool.list(at(10), reborn);
+    assert_ne!(key, first.key);
+    assert!(!pool.is_open(at(10), first.key), "the former life gets nothing more");
+    assert_eq!(place(&mut pool, at(10), 100).unwrap().key, key);
+}
+
+#[test]
+fn failing_endpoint() {
+    let mut pool = pool(2);
+    let bad = place(&mut pool, at(0), 100).unwrap();
+    let pause = pool.fail(at(0), bad.key);
+    assert!((0..4).all(|n| place(&mut pool, at(n), 100).unwrap().key != bad.key));
+    let longer = pool.fail(at(1), bad.key);
+    assert!(longer > pause, "pauses grow while failures go on");
+    assert!(pool.is_open(at(2), bad.key), "a pause is no reason to stop what was placed");
+}
+
+#[test]
+fn last_resort() {
+    let mut pool = pool(1);
+    let only = place(&mut pool, at(0), 100).unwrap();
+    pool.fail(at(0), only.key);
+    assert!(place(&mut pool, at(1), 100).is_ok(), "a failing endpoint is better than none");
+}
+
+#[test]
+fn tried_endpoint() {
+    let mut pool = pool(2);
+    let first = place(&mut pool, at(0), 100).unwrap();
+    let service = LLM.into();
+    let tried = [first.key];
+    let again = Demand { tried: &tried, ..demand(&service, 100) };
+    assert_ne!(pool.place(at(0), &again).unwrap().key, first.key);
+}
+
+#[test]
+fn grants_of_peers() {
+    let (mut near, mut far) = (pool(2), pool(2));
+    for n in 0..12 {
+        place(&mut far, at(n), 2_000).unwrap();
+    }
+    let crowded = place(&mut far, at(12), 2_000).unwrap().key;
+    near.hear(at(1_000), "peer".into(), at(12), far.snapshot(at(12)));
+    let held = near.believed(at(1_000), crowded).1;
+    assert!(held > 0, "a peer's grants count");
+    near.sweep(at(1_000) + SILENCE);
+    assert_eq!(near.believed(at(4_000), crowded).1, held, "up to the silence");
+    near.sweep(at(1_001) + SILENCE);
+    assert_eq!(near.believed(at(4_001), crowded).1, 0, "a silent peer's grants are dropped");
+}
+
+#[test]
+fn departed_peer() {
+    let (mut near, mut far) = (pool(1), pool(1));
+    let key = place(&mut far, at(0), 2_000).unwrap().key;
+    near.hear(at(0), "peer".into(), at(0), far.snapshot(at(0)));
+    near.forget(&"peer".into());
+    assert_eq!(near.believed(at(0), key), (0, 0));
+}
+
+#[test]
+fn blind_start() {
+    // Nothing is known of eight other instances: brief work does not crowd on the first engines.
+    let keys = |seed| {
+        let mut pool = Pool::new("a".into(), seed);
+        pool.set_instances(9);
+        pool.set_service(LLM.into(), Some(COSTS), 0.0);
+        (0..18).for_each(|n| _ = pool.list(at(0), listing(&format!("e{n}"), LLM, "a", 16)));
+        (0..4).map(|n| place(&mut pool, at(n), 2_000).unwrap().key).collect::<Vec<_>>()
+    };
+    let mut all: Vec<Key> = (1..10).flat_map(keys).collect();
+    all.sort();
+    all.dedup();
+    assert!(all.len() >= 9, "{} engines for nine instances", all.len());
+}
+
+#[test]
+fn plain_calls() {
+    let mut pool = pool(0);
+    for (id, zone) in [("d0", "a"), ("d1", "b"), ("d2", "c")] {
+        pool.list(at(0), listing(id, DESK, zone, 6));
+    }
+    let service = DESK.into();
+    let call = demand(&service, 0);
+    let near = pool.place(at(0), &call).unwrap();
+    assert_eq!(near.listing.zone.as_str(), "a", "the own zone among idle endpoints");
+    let zones: Vec<_> = (0..8).map(|n| pool.place(at(n), &call).unwrap().listing.zone).collect();
+    assert!(zones.iter().any(|z| z.as_str() == "b") && zones.iter().any(|z| z.as_str() == "c"));
+    let refusal = (0..100).find_map(|n| pool.place(at(n), &call).err()).unwrap();
+    assert_eq!(refusal.cause, Cause::NoSlot);
+    assert_eq!(pool.held(), 3 * 6 * 3, "two may wait for each slot");
+}
+
+#[test]
+fn cold_endpoint() {
+    let mut pool = pool(0);
+    pool.set_service(LLM.into(), Some(COSTS), 10.0);
+    let mut cold = listing("e0", LLM, "a", 16);
+    cold.cold = 3_000;
+    pool.list(at(0), cold);
+    let placed = (0..10).filter(|&n| place(&mut pool, at(n * 90), 100).is_ok()).count();
+    assert!((1..=10).contains(&placed) && placed < 5, "{placed} in the first second, from one of eight sharers");
+    assert!(place(&mut pool, at(3_000), 100).is_ok(), "warm again");
+}
--- /dev/null
+++ b/chestnutstage_core/tests/whole_events.rs
@@ -0,0 +1,66 @@
+//! Whole events of a stream, over changes of the endpoint.
+
+use chestnutstage_core::relay::Relay;
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+
+fn stream(ids: std::ops::RangeInclusive<u64>) -> Vec<u8> {
+    ids.flat_map(|id| format!("id: {id}\ndata: piece {id}\n\n").into_bytes()).collect()
+}
+
+#[test]
+fn partial_event() {
+    let mut relay = Relay::default();
+    assert_eq!(&relay.take(b"id: 1\ndata: x\n\nid: 2\nda")[..], b"id: 1\ndata: x\n\n");
+    assert_eq!((relay.last(), relay.events()), (Some(1), 1));
+    assert_eq!(relay.partial(), 8);
+    assert_eq!(&relay.take(b"ta: y\n\n")[..], b"id: 2\ndata: y\n\n");
+    assert_eq!((relay.last(), relay.partial()), (Some(2), 0));
+}
+
+#[test]
+fn resumed_stream() {
+    let mut relay = Relay::default();
+    relay.take(b"id: 1\ndata: x\n\nid: 2\ndata: hal");
+    relay.resume();
+    assert_eq!(relay.partial(), 0, "half an event of the former endpoint is dropped");
+    let rest = relay.take(&stream(1..=3));
+    assert_eq!(&rest[..], &stream(2..=3)[..], "an event that went on does not come again");
+}
+
+#[test]
+fn events_without_id() {
+    let mut relay = Relay::default();
+    assert_eq!(&relay.take(b": comment\n\n")[..], b": comment\n\n");
+    assert_eq!((relay.last(), relay.events()), (None, 1));
+}
+
+/// However the bytes are cut and wherever the endpoint changes, each event comes once and in order.
+#[test]
+fn any_cuts() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let config = ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let cuts = (proptest::collection::vec(1_usize..40, 1..40), 0_usize..400);
+    runner
+        .run(&cuts, |(sizes, breaks)| {
+            let all = stream(1..=12);
+            let mut relay = Relay::default();
+            let mut out = Vec::new();
+            let mut sizes = sizes.iter().cycle();
+            let mut feed = |relay: &mut Relay, mut bytes: &[u8]| {
+                while !bytes.is_empty() {
+                    let (now, later) = bytes.split_at((*sizes.next().unwrap()).min(bytes.len()));
+                    out.extend_from_slice(&relay.take(now));
+                    bytes = later;
+                }
+            };
+            feed(&mut relay, &all[..breaks.min(all.len())]);
+            relay.resume();
+            let next = relay.last().map_or(1, |last| last + 1);
+            feed(&mut relay, &stream(next..=12));
+            prop_assert_eq!(out, all);
+            Ok(())
+        })
+        .unwrap();
+}
