--- a/chestnutstage_core/tests/common/engines.rs
+++ b/chestnutstage_core/tests/common/engines.rs
@@ -1,7 +1,7 @@
 //! Engines on virtual time, as far as the replays of load patterns need them.
 //!
-//! An engine works in passes: it admits what waits while slots are free, reads a piece of each waiting prompt in every
-//! step, and gives each writer one event at the end of a pass.
+//! An engine works in passes: it admits what waits while slots are free, reads the waiting prompts, and gives each writer
+//! one event at the end of the pass. A prompt that it reads alone is written in the same pass.
 
 use std::collections::BTreeMap;
 
@@ -31,6 +31,8 @@
     /// Events to write; none on engines that only help.
     events: u32,
     started: bool,
+    /// Whether no other engine reads a part of the prompt.
+    alone: bool,
 }
 
 /// What a pass gave.
@@ -63,8 +65,8 @@
 
 impl Engine {
     /// Takes a part of a prompt; `events` are written here once all parts are read.
-    pub fn take(&mut self, request: usize, read: f64, context: u64, events: u32) {
-        self.waiting.push(Job { request, read, context, events, started: false });
+    pub fn take(&mut self, request: usize, read: f64, context: u64, events: u32, alone: bool) {
+        self.waiting.push(Job { request, read, context, events, started: false, alone });
     }
 
     /// All parts of a request are read.
@@ -89,28 +91,31 @@
 
     /// Works one pass through; gives its length in milliseconds.
     fn pass(&mut self) -> f64 {
+        let mut reading = 0.0;
+        for job in self.jobs.iter_mut().filter(|j| j.read > 0.0) {
+            reading += job.read;
+            job.read = 0.0;
+            job.started = true;
+            self.pending.push(Event::Read(job.request));
+            if job.alone {
+                self.ready.push(job.request);
+            }
+        }
         let ready = &self.ready;
-        let writes = |j: &Job| j.read <= 0.0 && j.events > 0 && ready.contains(&j.request);
+        let writes = |j: &Job| j.events > 0 && ready.contains(&j.request);
         let writers = self.jobs.iter().filter(|j| writes(j)).count() as u32;
         let context = self.jobs.iter().filter(|j| writes(j)).map(|j| j.context).sum();
-        let mut length = if writers > 0 { COSTS.pass(writers, context) } else { COSTS.step };
-        for job in &mut self.jobs {
-            if writes(job) {
-                job.events -= 1;
-                let end = job.events == 0;
-                self.pending.push(if end { Event::Ended(job.request) } else { Event::Written(job.request) });
-            } else if job.read > 0.0 {
-                length += job.read;
-                job.read = 0.0;
-                job.started = true;
-                self.pending.push(Event::Read(job.request));
-            }
+        let length = if writers > 0 { COSTS.pass(writers, context) } else { COSTS.step };
+        for job in self.jobs.iter_mut().filter(|j| writes(j)) {
+            job.events -= 1;
+            let end = job.events == 0;
+            self.pending.push(if end { Event::Ended(job.request) } else { Event::Written(job.request) });
         }
         let pending = &self.pending;
         self.jobs.retain(|j| {
-            let read = j.events == 0 && j.started && j.read <= 0.0;
+            let read = j.events == 0 && j.started;
             !read && !pending.contains(&Event::Ended(j.request))
         });
-        length
+        length + reading
     }
 }
--- a/chestnutstage_gateway/src/gateway.rs
+++ b/chestnutstage_gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use chestnutstage_core::budget::RetryBudget;
@@ -65,6 +65,33 @@
     shared: Arc<Shared>,
     closing: watch::Sender<bool>,
     peers: Arc<Mutex<Option<Arc<Peers>>>>,
+    bound: Bound,
+}
+
+/// Where an instance listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bound {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For readiness, metrics and the state dump.
+    pub checks: SocketAddr,
+}
+
+/// The process's recorder of metrics; all instances in a process share it.
+static RECORDER: Mutex<Option<PrometheusHandle>> = Mutex::new(None);
+
+fn recorder() -> Result<PrometheusHandle, BuildError> {
+    let mut recorder = RECORDER.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(handle) = &*recorder {
+        return Ok(handle.clone());
+    }
+    let handle = PrometheusBuilder::new().install_recorder()?;
+    Ok(recorder.insert(handle).clone())
+}
+
+fn local(listener: &TcpListener) -> Result<SocketAddr, StartError> {
+    let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
+    listener.local_addr().map_err(|source| StartError::Bind { address: unknown, source })
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
@@ -78,9 +105,10 @@
     ///
     /// [`StartError`] if a port can't be bound or the metrics can't be set up.
     pub async fn start(settings: Settings, adapters: Adapters) -> Result<Self, StartError> {
-        let metrics = PrometheusBuilder::new().install_recorder()?;
+        let metrics = recorder()?;
         let callers = bind(settings.listen.callers).await?;
         let checks = bind(settings.listen.checks).await?;
+        let bound = Bound { callers: local(&callers)?, checks: local(&checks)? };
         let clock = Clock::start();
         let granted = Arc::new(Notify::new());
         let dispatcher = Dispatcher::new(
@@ -114,7 +142,12 @@
         }
         tokio::spawn(housekeeping(shared.clone()));
         tokio::spawn(link(shared.clone(), granted, peers.clone()));
-        Ok(Self { shared, closing, peers })
+        Ok(Self { shared, closing, peers, bound })
+    }
+
+    /// Where the instance listens.
+    pub const fn bound(&self) -> Bound {
+        self.bound
     }
 
     /// Takes no new callers, lets requests under way end within the grace, and leaves.
@@ -134,7 +167,7 @@
         while !self.shared.is_idle() && started.elapsed() < grace {
             sleep(IDLE_INTERVAL).await;
         }
-        let peers = self.peers.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+        let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner).clone();
         if let Some(peers) = peers {
             peers.leave().await;
         }
@@ -195,8 +228,9 @@
             return;
         }
     };
-    *place.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(peers.clone());
+    *place.lock().unwrap_or_else(PoisonError::into_inner) = Some(peers.clone());
     let instance = &shared.settings.instance;
+    let address = peers.address().unwrap_or(address);
     let member = Member { id: instance.name.clone(), zone: instance.zone.clone(), address };
     tokio::spawn(peers.clone().accept());
     tokio::spawn(peers.clone().dial());
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -27,6 +27,6 @@
 mod tickets;
 mod watch;
 
-pub use gateway::{Gateway, StartError};
+pub use gateway::{Bound, Gateway, StartError};
 pub use peers::LinkError;
 pub use shared::Adapters;
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -185,6 +185,11 @@
         Ok(Self { shared, endpoint, life, open: Mutex::default(), asking: Mutex::new(false) })
     }
 
+    /// Where it listens.
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        self.endpoint.local_addr().ok()
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Peer>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/chestnutstage_gateway/tests/common/backend.rs
@@ -0,0 +1,131 @@
+//! Endpoints that answer raw bytes, so that they can break the protocol at any point.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// What an endpoint does with a request.
+#[derive(Debug, Clone)]
+pub enum Reply {
+    /// Sends these bytes and keeps the connection.
+    Bytes(String),
+    /// Sends these bytes and closes the connection.
+    Cut(String),
+    /// Sends these bytes and then nothing.
+    Hang(String),
+    /// Sends the first bytes and closes the connection; asked to go on after an event, sends the second ones.
+    Halves(String, String),
+}
+
+/// An endpoint.
+#[derive(Debug)]
+pub struct Backend {
+    pub address: SocketAddr,
+    /// Requests as they came, body included.
+    pub seen: Mutex<Vec<String>>,
+    /// Notified when a caller closes a connection on which the endpoint hangs.
+    pub closed: Notify,
+    replies: Mutex<Vec<Reply>>,
+}
+
+/// A whole answer with a body.
+pub fn answer(status: &str, headers: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nx-attempt: attempt-1\r\n{headers}content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+pub fn success(body: &str) -> Reply {
+    Reply::Bytes(answer("200 OK", "x-seal: s\r\n", body))
+}
+
+/// Head of a stream in chunks, and chunks for these events.
+pub fn stream(ids: std::ops::RangeInclusive<u64>) -> String {
+    let head = "HTTP/1.1 200 OK\r\nx-attempt: attempt-1\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n";
+    ids.map(|id| event(id)).fold(head.to_owned(), |text, event| text + &format!("{:x}\r\n{event}\r\n", event.len()))
+}
+
+pub fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+/// End of an answer in chunks.
+pub const END: &str = "0\r\n\r\n";
+
+impl Backend {
+    /// An endpoint that gives these replies in turn; the last one for ever.
+    pub async fn start(replies: Vec<Reply>) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let backend = Arc::new(Self {
+            address: listener.local_addr().unwrap(),
+            seen: Mutex::default(),
+            closed: Notify::new(),
+            replies: Mutex::new(replies),
+        });
+        let serving = backend.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serving.clone().serve(stream));
+            }
+        });
+        backend
+    }
+
+    pub fn seen(&self) -> Vec<String> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    fn next(&self) -> Reply {
+        let mut replies = self.replies.lock().unwrap();
+        if replies.len() > 1 { replies.remove(0) } else { replies[0].clone() }
+    }
+
+    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        while let Some(request) = read_request(&mut stream).await {
+            let resumes = request.contains("last-event-id: ");
+            self.seen.lock().unwrap().push(request);
+            match self.next() {
+                Reply::Halves(_, rest) if resumes => stream.write_all(rest.as_bytes()).await.unwrap(),
+                Reply::Halves(bytes, _) => {
+                    stream.write_all(bytes.as_bytes()).await.unwrap();
+                    return;
+                }
+                Reply::Bytes(bytes) => stream.write_all(bytes.as_bytes()).await.unwrap(),
+                Reply::Cut(bytes) => {
+                    stream.write_all(bytes.as_bytes()).await.unwrap();
+                    return;
+                }
+                Reply::Hang(bytes) => {
+                    stream.write_all(bytes.as_bytes()).await.unwrap();
+                    let mut rest = [0; 64];
+                    while matches!(stream.read(&mut rest).await, Ok(n) if n > 0) {}
+                    self.closed.notify_one();
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// One request with its body; none when the connection is closed.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let mut part = [0; 4_096];
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|l| l.strip_prefix("content-length: "));
+            if body.len() >= length.map_or(0, |l| l.trim().parse().unwrap()) {
+                return Some(text);
+            }
+        }
+        match stream.read(&mut part).await {
+            Ok(n) if n > 0 => bytes.extend_from_slice(&part[..n]),
+            _ => return None,
+        }
+    }
+}
--- /dev/null
+++ b/chestnutstage_gateway/tests/common/mod.rs
@@ -0,0 +1,162 @@
+//! Stand-ins of everything outside a gateway, and a gateway between them.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod backend;
+pub mod outside;
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutstage_core::catalog::{
+    Account, CallerLimits, Catalog, ColdRate, Repeat, Route, ServiceSpec, Share, Target,
+};
+use chestnutstage_core::engine::Costs;
+use chestnutstage_core::pool::Listing;
+use chestnutstage_gateway::outside::{Fact, Topic};
+use chestnutstage_gateway::settings::{Bounds, InstanceSettings, Listen, Settings, Store};
+use chestnutstage_gateway::{Adapters, Gateway};
+use reqwest::{Client, Method, RequestBuilder, StatusCode};
+
+use self::outside::{Book, Desk, Words};
+
+pub const KEY: &str = "key-of-town";
+pub const HOST: &str = "routes.example";
+
+/// A gateway with its stand-ins.
+pub struct Stage {
+    pub gateway: Gateway,
+    pub book: Arc<Book>,
+    pub desk: Arc<Desk>,
+    pub http: Client,
+}
+
+pub fn costs() -> Costs {
+    Costs {
+        step: 1.0,
+        writer: 0.002,
+        context: 0.004,
+        rate: 206.0,
+        pairs: 0.138,
+        chunk: 2_048,
+        stride: 43,
+        slots: 16,
+        memory: 232_000,
+        hop: 0.1,
+    }
+}
+
+pub fn route(name: &str, repeat: Repeat, service: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: HOST.into(),
+        prefix: format!("/{name}/"),
+        repeat,
+        timeout: Duration::from_secs(5),
+        target: Target { first: Duration::from_millis(300), gap: Duration::from_millis(250) },
+        rank: 1,
+        shares: vec![Share { service: service.into(), weight: 1 }],
+        attempts: 2,
+        anonymous: false,
+    }
+}
+
+pub fn catalog(version: u64) -> Catalog {
+    let desk = ServiceSpec { connections: 100, cold: ColdRate::default(), engine: None };
+    let llm = ServiceSpec { engine: Some(costs()), ..desk.clone() };
+    let routes = vec![
+        route("look", Repeat::Idempotent, "desk"),
+        route("book", Repeat::Once, "desk"),
+        route("chat", Repeat::Resumable, "llm"),
+        route("tape", Repeat::Stream, "llm"),
+        Route {
+            timeout: Duration::from_secs(60),
+            target: Target { first: Duration::from_secs(30), gap: Duration::from_secs(10) },
+            ..route("archive", Repeat::Resumable, "llm")
+        },
+    ];
+    Catalog {
+        version,
+        routes,
+        services: BTreeMap::from([("desk".into(), desk), ("llm".into(), llm)]),
+        customers: vec![Account { id: "town".into(), keys: vec![KEY.into()], rank: None }],
+        limits: CallerLimits {
+            headers: 8_192,
+            body: 4_096,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+    }
+}
+
+pub fn listing(id: &str, service: &str, address: SocketAddr) -> Listing {
+    Listing {
+        id: id.into(),
+        address,
+        zone: "a".into(),
+        service: service.into(),
+        slots: 16,
+        leaving: false,
+        born: 1,
+        cold: 0,
+    }
+}
+
+pub fn settings(name: &str) -> Settings {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    Settings {
+        instance: InstanceSettings { name: name.into(), zone: "a".into(), ip: Ipv4Addr::LOCALHOST },
+        listen: Listen { callers: any, checks: any, peers: 0, metrics: None },
+        store: Store { address: any },
+        bounds: Bounds::default(),
+    }
+}
+
+impl Stage {
+    /// A gateway whose store already holds a catalog and these endpoints.
+    pub async fn start(endpoints: Vec<Listing>) -> Self {
+        let book = Arc::new(Book::default());
+        book.tell(Topic::Operators, vec![Fact::Catalog(Box::new(catalog(1)))]);
+        book.tell(Topic::Endpoints, endpoints.into_iter().map(Fact::Listed).collect());
+        let stage = Self::with_book("i1", book).await;
+        stage.until_ready().await;
+        stage
+    }
+
+    pub async fn with_book(name: &str, book: Arc<Book>) -> Self {
+        let desk = Arc::new(Desk::default());
+        let adapters =
+            Adapters { registry: book.clone(), dialect: Arc::new(Words::new()), engines: desk.clone() };
+        let gateway = Gateway::start(settings(name), adapters).await.unwrap();
+        let http = Client::builder().no_proxy().http1_only().build().unwrap();
+        Self { gateway, book, desk, http }
+    }
+
+    pub async fn ready(&self) -> bool {
+        let url = format!("http://{}/any", self.gateway.bound().checks);
+        self.http.get(url).send().await.unwrap().status() == StatusCode::OK
+    }
+
+    pub async fn until_ready(&self) {
+        while !self.ready().await {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// A request with the customer's key and an attempt id.
+    pub fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        self.bare_request(method, path).header("x-key", KEY)
+    }
+
+    pub fn bare_request(&self, method: Method, path: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.gateway.bound().callers);
+        let request = self.http.request(method, url).header("host", HOST);
+        request.header("x-attempt", "attempt-1")
+    }
+
+    pub async fn status(&self, method: Method, path: &str) -> StatusCode {
+        self.request(method, path).send().await.unwrap().status()
+    }
+}
--- /dev/null
+++ b/chestnutstage_gateway/tests/common/outside.rs
@@ -0,0 +1,198 @@
+//! Stand-ins of the store, of the words on the wire and of the engines' controls.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use chestnutstage_core::ids::InstanceId;
+use chestnutstage_gateway::outside::{
+    Dialect, Engines, Fact, Failure, Member, Names, News, OutsideError, Prompt, Registry, Report, Step, Topic,
+};
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// The store: facts with rising revisions.
+#[derive(Debug, Default)]
+pub struct Book {
+    facts: Mutex<HashMap<Topic, Vec<(u64, Fact)>>>,
+    revision: AtomicU64,
+    changed: Notify,
+    pub down: AtomicBool,
+    forgets: AtomicBool,
+    secret: Mutex<Option<String>>,
+}
+
+impl Book {
+    /// Adds facts to a topic.
+    pub fn tell(&self, topic: Topic, facts: Vec<Fact>) {
+        for fact in facts {
+            let revision = self.revision.fetch_add(1, Ordering::SeqCst) + 1;
+            self.facts.lock().unwrap().entry(topic).or_default().push((revision, fact));
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Drops the history: the next call for changes has to read everything again.
+    pub fn forget(&self) {
+        self.forgets.store(true, Ordering::SeqCst);
+        self.changed.notify_waiters();
+    }
+
+    fn after(&self, topic: Topic, after: u64) -> News {
+        let facts = self.facts.lock().unwrap();
+        let all = facts.get(&topic).into_iter().flatten();
+        let facts = all.filter(|(revision, _)| *revision > after).map(|(_, fact)| fact.clone()).collect();
+        News { revision: self.revision.load(Ordering::SeqCst), facts }
+    }
+
+    fn check(&self, step: Step) -> Result<(), OutsideError> {
+        if self.down.load(Ordering::SeqCst) {
+            let failure = Failure::NoAnswer("down".into());
+            return Err(OutsideError { step, peer: "book".into(), failure });
+        }
+        Ok(())
+    }
+}
+
+impl Registry for Book {
+    fn read(&self, topic: Topic) -> BoxFuture<'_, Result<News, OutsideError>> {
+        async move { self.check(Step::Read).map(|()| self.after(topic, 0)) }.boxed()
+    }
+
+    fn follow(&self, topic: Topic, after: u64, wait: Duration) -> BoxFuture<'_, Result<News, OutsideError>> {
+        async move {
+            let changed = self.changed.notified();
+            self.check(Step::Follow)?;
+            if topic == Topic::Operators && self.forgets.swap(false, Ordering::SeqCst) {
+                let failure = Failure::HistoryGone;
+                return Err(OutsideError { step: Step::Follow, peer: "book".into(), failure });
+            }
+            let news = self.after(topic, after);
+            if !news.facts.is_empty() {
+                return Ok(news);
+            }
+            // A change or the end of the wait: both lead to the same look.
+            _ = timeout(wait, changed).await;
+            self.check(Step::Follow)?;
+            Ok(self.after(topic, after))
+        }
+        .boxed()
+    }
+
+    fn join<'a>(&'a self, member: &'a Member) -> BoxFuture<'a, Result<(), OutsideError>> {
+        async move {
+            self.check(Step::Write)?;
+            self.tell(Topic::Members, vec![Fact::Joined(member.clone())]);
+            Ok(())
+        }
+        .boxed()
+    }
+
+    fn leave<'a>(&'a self, id: &'a InstanceId) -> BoxFuture<'a, Result<(), OutsideError>> {
+        async move {
+            self.check(Step::Write)?;
+            self.tell(Topic::Members, vec![Fact::Left(id.clone())]);
+            Ok(())
+        }
+        .boxed()
+    }
+
+    fn secret<'a>(&'a self, fresh: &'a str) -> BoxFuture<'a, Result<String, OutsideError>> {
+        async move {
+            self.check(Step::Write)?;
+            Ok(self.secret.lock().unwrap().get_or_insert_with(|| fresh.to_owned()).clone())
+        }
+        .boxed()
+    }
+}
+
+/// Words on the wire.
+#[derive(Debug)]
+pub struct Words(Names);
+
+impl Words {
+    pub fn new() -> Self {
+        Self(Names {
+            attempt: HeaderName::from_static("x-attempt"),
+            remaining: HeaderName::from_static("x-remaining"),
+            seal: HeaderName::from_static("x-seal"),
+            key: HeaderName::from_static("x-key"),
+            customer: HeaderName::from_static("x-customer"),
+            expected: HeaderName::from_static("x-expected"),
+            not_run: HeaderName::from_static("x-not-run"),
+            last_event: HeaderName::from_static("last-event-id"),
+            urgency: HeaderName::from_static("x-urgency"),
+            helpers: HeaderName::from_static("x-helpers"),
+            fault: HeaderName::from_static("x-fault"),
+        })
+    }
+}
+
+impl Dialect for Words {
+    fn names(&self) -> &Names {
+        &self.0
+    }
+
+    fn prompt(&self, headers: &HeaderMap) -> Option<Prompt> {
+        let tokens = headers.get("x-tokens")?.to_str().ok()?.parse().ok()?;
+        Some(Prompt { tokens, output: 100 })
+    }
+
+    fn helpers(&self, helpers: &[(SocketAddr, Option<String>)]) -> Option<HeaderValue> {
+        if helpers.is_empty() {
+            return None;
+        }
+        HeaderValue::from_str(&format!("{helpers:?}")).ok()
+    }
+
+    fn fault(&self, value: &HeaderValue) -> Option<SocketAddr> {
+        value.to_str().ok()?.parse().ok()
+    }
+}
+
+/// The engines' controls: what is reserved, by name.
+#[derive(Debug, Default)]
+pub struct Desk {
+    pub reserved: Mutex<HashMap<String, u64>>,
+    pub granted: AtomicU64,
+    pub refuses: AtomicBool,
+    pub released: Notify,
+}
+
+impl Engines for Desk {
+    fn report(&self, _: SocketAddr) -> BoxFuture<'_, Result<Report, OutsideError>> {
+        async { Ok(Report { pace: 1.0, waiting: 0, running: 0, used: 0 }) }.boxed()
+    }
+
+    fn reserve<'a>(
+        &'a self,
+        _: SocketAddr,
+        name: &'a str,
+        tokens: u64,
+        _: Duration,
+    ) -> BoxFuture<'a, Result<bool, OutsideError>> {
+        async move {
+            if self.refuses.load(Ordering::SeqCst) {
+                return Ok(false);
+            }
+            self.granted.fetch_add(1, Ordering::SeqCst);
+            self.reserved.lock().unwrap().insert(name.to_owned(), tokens);
+            Ok(true)
+        }
+        .boxed()
+    }
+
+    fn release<'a>(&'a self, _: SocketAddr, name: &'a str) -> BoxFuture<'a, Result<(), OutsideError>> {
+        async move {
+            self.reserved.lock().unwrap().remove(name);
+            self.released.notify_one();
+            Ok(())
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/chestnutstage_gateway/tests/event_streams.rs
@@ -0,0 +1,105 @@
+//! Streams of events through a gateway, whole or visibly broken.
+
+mod common;
+
+use std::sync::atomic::Ordering;
+
+use common::backend::{Backend, END, Reply, event, stream};
+use common::{Stage, listing};
+use reqwest::{Method, Response};
+
+async fn ask(stage: &Stage, path: &str, tokens: &str) -> Response {
+    stage.request(Method::POST, path).header("x-tokens", tokens).body("prompt").send().await.unwrap()
+}
+
+fn events(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(event).collect()
+}
+
+#[tokio::test]
+async fn whole_stream() {
+    let backend = Backend::start(vec![Reply::Bytes(stream(1..=5) + END)]).await;
+    let stage = Stage::start(vec![listing("e1", "llm", backend.address)]).await;
+    let answer = ask(&stage, "/chat/x", "100").await;
+    assert_eq!(answer.headers()["x-seal"], "s");
+    assert_eq!(answer.text().await.unwrap(), events(1..=5));
+}
+
+#[tokio::test]
+async fn resumed_elsewhere() {
+    let halves = Reply::Halves(stream(1..=3) + "5\r\nid: 4", stream(4..=6) + END);
+    let (one, two) = (Backend::start(vec![halves.clone()]).await, Backend::start(vec![halves]).await);
+    let listings = vec![listing("e1", "llm", one.address), listing("e2", "llm", two.address)];
+    let stage = Stage::start(listings).await;
+    let text = ask(&stage, "/chat/x", "100").await.text().await.unwrap();
+    assert_eq!(text, events(1..=6), "the events of both, each once");
+    assert_eq!((one.seen().len(), two.seen().len()), (1, 1));
+    let resumed = [one.seen(), two.seen()].concat();
+    assert!(resumed.iter().any(|r| r.contains("last-event-id: 3")), "after the last whole event");
+}
+
+#[tokio::test]
+async fn cut_and_not_resumable() {
+    let backend = Backend::start(vec![Reply::Cut(stream(1..=3))]).await;
+    let stage = Stage::start(vec![listing("e1", "llm", backend.address)]).await;
+    let answer = ask(&stage, "/tape/x", "100").await;
+    assert!(answer.text().await.is_err(), "a stream that ends early never looks complete");
+    assert_eq!(backend.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn cut_without_another() {
+    let backend = Backend::start(vec![Reply::Cut(stream(1..=3))]).await;
+    let stage = Stage::start(vec![listing("e1", "llm", backend.address)]).await;
+    assert!(ask(&stage, "/chat/x", "100").await.text().await.is_err(), "no endpoint can go on with it");
+}
+
+#[tokio::test]
+async fn caller_leaves() {
+    let backend = Backend::start(vec![Reply::Hang(stream(1..=1))]).await;
+    let stage = Stage::start(vec![listing("e1", "llm", backend.address)]).await;
+    let mut answer = ask(&stage, "/chat/x", "100").await;
+    assert!(answer.chunk().await.unwrap().is_some());
+    drop(answer);
+    backend.closed.notified().await;
+}
+
+#[tokio::test]
+async fn caller_leaves_early() {
+    let backend = Backend::start(vec![Reply::Hang(String::new())]).await;
+    let stage = Stage::start(vec![listing("e1", "llm", backend.address)]).await;
+    let request = stage.request(Method::POST, "/chat/x").header("x-tokens", "100").send();
+    let asking = tokio::spawn(request);
+    while backend.seen().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    asking.abort();
+    backend.closed.notified().await;
+}
+
+#[tokio::test]
+async fn reserved_and_released() {
+    let backend = Backend::start(vec![Reply::Bytes(stream(1..=2) + END)]).await;
+    let listings = (1..=4).map(|n| listing(&format!("e{n}"), "llm", backend.address)).collect();
+    let stage = Stage::start(listings).await;
+    let request = stage.request(Method::POST, "/archive/x").header("x-tokens", "400000");
+    let answer = request.header("x-remaining", "60000").send().await.unwrap();
+    assert_eq!(answer.text().await.unwrap(), events(1..=2));
+    assert!(stage.desk.granted.load(Ordering::SeqCst) > 1, "no single engine holds the prompt");
+    assert!(backend.seen()[0].contains("x-helpers: "));
+    while !stage.desk.reserved.lock().unwrap().is_empty() {
+        stage.desk.released.notified().await;
+    }
+}
+
+#[tokio::test]
+async fn no_reservation() {
+    let backend = Backend::start(vec![Reply::Bytes(stream(1..=2) + END)]).await;
+    let listings = (1..=4).map(|n| listing(&format!("e{n}"), "llm", backend.address)).collect();
+    let stage = Stage::start(listings).await;
+    stage.desk.refuses.store(true, Ordering::SeqCst);
+    let request = stage.request(Method::POST, "/archive/x").header("x-tokens", "400000");
+    let answer = request.header("x-remaining", "60000").send().await.unwrap();
+    assert_eq!(answer.status(), reqwest::StatusCode::SERVICE_UNAVAILABLE);
+    assert!(backend.seen().is_empty(), "nothing is sent without the memory");
+}
--- /dev/null
+++ b/chestnutstage_gateway/tests/instances.rs
@@ -0,0 +1,94 @@
+//! Several gateways of one deployment, and gateways that leave.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use chestnutstage_gateway::outside::{Fact, Topic};
+use common::backend::{Backend, END, Reply, stream, success};
+use common::outside::Book;
+use common::{Stage, catalog, listing};
+use reqwest::{Method, StatusCode};
+
+async fn book(backend: &Backend) -> Arc<Book> {
+    let book = Arc::new(Book::default());
+    book.tell(Topic::Operators, vec![Fact::Catalog(Box::new(catalog(1)))]);
+    let engine = listing("e1", "llm", backend.address);
+    let desk = listing("d1", "desk", backend.address);
+    book.tell(Topic::Endpoints, vec![Fact::Listed(engine), Fact::Listed(desk)]);
+    book
+}
+
+async fn state(stage: &Stage) -> String {
+    let url = format!("http://{}/state", stage.gateway.bound().checks);
+    stage.http.get(url).send().await.unwrap().text().await.unwrap()
+}
+
+#[tokio::test]
+async fn shared_grants() {
+    let backend = Backend::start(vec![Reply::Hang(stream(1..=1))]).await;
+    let book = book(&backend).await;
+    let near = Stage::with_book("i1", book.clone()).await;
+    let far = Stage::with_book("i2", book.clone()).await;
+    near.until_ready().await;
+    far.until_ready().await;
+    let asked = near.request(Method::POST, "/chat/x").header("x-tokens", "100").send().await.unwrap();
+    while !state(&far).await.contains("work: Brief") {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    drop(asked);
+    while state(&far).await.contains("work: Brief") {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test]
+async fn store_out_of_reach() {
+    let backend = Backend::start(vec![success("done")]).await;
+    let book = book(&backend).await;
+    let stage = Stage::with_book("i1", book.clone()).await;
+    stage.until_ready().await;
+    book.down.store(true, Ordering::SeqCst);
+    while stage.status(Method::GET, "/look/x").await == StatusCode::OK {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let answer = stage.request(Method::GET, "/look/x").send().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE, "the key may have been revoked");
+    assert!(!stage.ready().await);
+    book.down.store(false, Ordering::SeqCst);
+    stage.until_ready().await;
+    assert_eq!(stage.status(Method::GET, "/look/x").await, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn graceful_shutdown() {
+    let backend = Backend::start(vec![Reply::Bytes(stream(1..=2) + END)]).await;
+    let book = book(&backend).await;
+    let stage = Stage::with_book("i1", book).await;
+    stage.until_ready().await;
+    let (bound, http) = (stage.gateway.bound(), stage.http.clone());
+    let running = stage.request(Method::POST, "/chat/x").header("x-tokens", "100").send().await.unwrap();
+    let leaving = tokio::spawn(stage.gateway.shutdown());
+    tokio::task::yield_now().await;
+    let check = http.get(format!("http://{}/any", bound.checks)).send().await.unwrap();
+    assert_eq!(check.status(), StatusCode::SERVICE_UNAVAILABLE, "not ready at once");
+    assert!(running.text().await.is_ok(), "what runs is finished");
+    leaving.await.unwrap();
+    assert!(http.get(format!("http://{}/look/x", bound.callers)).send().await.is_err(), "the port is closed");
+}
+
+#[tokio::test]
+async fn departed_endpoint() {
+    let backend = Backend::start(vec![success("done")]).await;
+    let book = book(&backend).await;
+    let stage = Stage::with_book("i1", book.clone()).await;
+    stage.until_ready().await;
+    assert_eq!(stage.status(Method::GET, "/look/x").await, StatusCode::OK);
+    book.tell(Topic::Endpoints, vec![Fact::Unlisted("d1".into())]);
+    while stage.status(Method::GET, "/look/x").await == StatusCode::OK {}
+    let sent = backend.seen().len();
+    assert_eq!(stage.status(Method::GET, "/look/x").await, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(backend.seen().len(), sent, "nothing more reaches it");
+}
--- /dev/null
+++ b/chestnutstage_gateway/tests/routed_calls.rs
@@ -0,0 +1,124 @@
+//! Calls of plain services through a gateway.
+
+mod common;
+
+use chestnutstage_gateway::outside::{Fact, Topic};
+use common::backend::{Backend, Reply, answer, success};
+use common::outside::Book;
+use common::{KEY, Stage, catalog, listing};
+use reqwest::{Method, StatusCode};
+
+#[tokio::test]
+async fn passed_unchanged() {
+    let backend = Backend::start(vec![success("done")]).await;
+    let stage = Stage::start(vec![listing("d1", "desk", backend.address)]).await;
+    let answer = stage
+        .request(Method::PUT, "/look/a%20b/?q=1&r=%2F")
+        .header("x-remaining", "4000")
+        .header("x-unknown", "kept")
+        .header("x-customer", "forged")
+        .header("connection", "x-hop")
+        .header("x-hop", "dropped")
+        .body("the body")
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(answer.headers()["x-seal"], "s");
+    assert_eq!(answer.text().await.unwrap(), "done");
+    let seen = backend.seen().remove(0);
+    assert!(seen.starts_with("PUT /look/a%20b/?q=1&r=%2F HTTP/1.1\r\n"), "{seen}");
+    assert!(seen.contains("x-unknown: kept") && seen.ends_with("\r\n\r\nthe body"), "{seen}");
+    assert!(seen.contains("x-customer: town") && !seen.contains("forged"), "{seen}");
+    assert!(seen.contains("x-expected: d1") && seen.contains("x-attempt: attempt-1"), "{seen}");
+    assert!(!seen.contains(KEY) && !seen.contains("x-hop"), "{seen}");
+    let remaining = seen.lines().find_map(|l| l.strip_prefix("x-remaining: ")).unwrap();
+    assert!(remaining.parse::<u64>().unwrap() <= 4_000, "never more than the caller has left");
+}
+
+#[tokio::test]
+async fn no_route() {
+    let stage = Stage::start(vec![listing("d1", "desk", "127.0.0.1:1".parse().unwrap())]).await;
+    assert_eq!(stage.status(Method::GET, "/elsewhere/x").await, StatusCode::NOT_FOUND);
+    assert_eq!(stage.status(Method::GET, "/look").await, StatusCode::NOT_FOUND);
+}
+
+#[tokio::test]
+async fn unknown_key() {
+    let backend = Backend::start(vec![success("done")]).await;
+    let stage = Stage::start(vec![listing("d1", "desk", backend.address)]).await;
+    let bare = stage.bare_request(Method::GET, "/look/x");
+    assert_eq!(bare.send().await.unwrap().status(), StatusCode::UNAUTHORIZED);
+    let wrong = stage.bare_request(Method::GET, "/look/x").header("x-key", "another");
+    assert_eq!(wrong.send().await.unwrap().status(), StatusCode::UNAUTHORIZED);
+    assert!(backend.seen().is_empty());
+}
+
+#[tokio::test]
+async fn before_the_catalog() {
+    let stage = Stage::with_book("i1", std::sync::Arc::new(Book::default())).await;
+    assert!(!stage.ready().await);
+    let answer = stage.request(Method::GET, "/look/x").send().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE, "nothing is known: neither 404 nor 401");
+    assert!(answer.headers().contains_key("retry-after"));
+}
+
+#[tokio::test]
+async fn large_body() {
+    let backend = Backend::start(vec![success("done")]).await;
+    let stage = Stage::start(vec![listing("d1", "desk", backend.address)]).await;
+    let answer = stage.request(Method::POST, "/look/x").body(vec![b'x'; 5_000]).send().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    assert!(backend.seen().is_empty());
+}
+
+#[tokio::test]
+async fn own_errors_passed() {
+    let error = Reply::Bytes(answer("409 Conflict", "x-seal: s\r\n", "no"));
+    let backend = Backend::start(vec![error]).await;
+    let stage = Stage::start(vec![listing("d1", "desk", backend.address)]).await;
+    let answer = stage.request(Method::POST, "/book/x").send().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::CONFLICT);
+    assert_eq!((answer.headers()["x-seal"].clone(), answer.text().await.unwrap()), ("s".parse().unwrap(), "no".into()));
+}
+
+#[tokio::test]
+async fn failed_elsewhere() {
+    let bad = Backend::start(vec![Reply::Bytes(answer("500 Broken", "x-seal: s\r\n", "no"))]).await;
+    let good = Backend::start(vec![success("done")]).await;
+    let listings = vec![listing("d1", "desk", bad.address), listing("d2", "desk", good.address)];
+    let stage = Stage::start(listings).await;
+    for _ in 0..4 {
+        assert_eq!(stage.status(Method::GET, "/look/x").await, StatusCode::OK, "idempotent: tried elsewhere");
+    }
+    assert!(good.seen().len() >= 4);
+}
+
+#[tokio::test]
+async fn new_catalog() {
+    let backend = Backend::start(vec![success("done")]).await;
+    let stage = Stage::start(vec![listing("d1", "desk", backend.address)]).await;
+    let mut next = catalog(2);
+    next.routes.retain(|r| r.name != "look");
+    stage.book.tell(Topic::Operators, vec![Fact::Catalog(Box::new(next))]);
+    while stage.status(Method::GET, "/look/x").await != StatusCode::NOT_FOUND {}
+    stage.book.tell(Topic::Operators, vec![Fact::Catalog(Box::new(catalog(1)))]);
+    stage.book.forget();
+    let mut third = catalog(3);
+    third.routes.retain(|r| r.name != "look" && r.name != "book");
+    stage.book.tell(Topic::Operators, vec![Fact::Catalog(Box::new(third))]);
+    while stage.status(Method::POST, "/book/x").await != StatusCode::NOT_FOUND {
+        assert_eq!(stage.status(Method::GET, "/look/x").await, StatusCode::NOT_FOUND, "never back");
+    }
+}
+
+#[tokio::test]
+async fn revoked_key() {
+    let backend = Backend::start(vec![success("done")]).await;
+    let stage = Stage::start(vec![listing("d1", "desk", backend.address)]).await;
+    assert_eq!(stage.status(Method::GET, "/look/x").await, StatusCode::OK);
+    let mut next = catalog(2);
+    next.customers[0].keys = vec!["another".into()];
+    stage.book.tell(Topic::Operators, vec![Fact::Catalog(Box::new(next))]);
+    while stage.status(Method::GET, "/look/x").await != StatusCode::UNAUTHORIZED {}
+}
