A silent stream is kept until another endpoint has begun

Change: on silence the engine's load reports are asked; the stream goes elsewhere only if the engine seems gone or was silent twice, and is given up only for one that has begun. Test: silent_then_on, fails before (broken body), passes after.

--- a/chestnutstage_core/src/engine.rs
+++ b/chestnutstage_core/src/engine.rs
@@ -41,8 +41,7 @@
 impl Costs {
     /// Length of a pass in which `writers` with `context` tokens write and nothing is read, in milliseconds.
     pub fn pass(&self, writers: u32, context: u64) -> f64 {
-        let step =
-            self.step + self.writer * f64::from(writers) + self.context * context as f64 / KILO;
+        let step = self.step + self.writer * f64::from(writers) + self.context * context as f64 / KILO;
         step * f64::from(self.stride.max(1))
     }
 
--- a/chestnutstage_core/src/pool/load.rs
+++ b/chestnutstage_core/src/pool/load.rs
@@ -130,12 +130,16 @@
             let Some(least) = open.iter().map(|&i| reads[i].rest).min_by(f64::total_cmp) else { break };
             let count = open.len() as f64;
             let step = least.min(left / count);
-            open.iter().for_each(|&i| reads[i].rest = (reads[i].rest - step).max(0.0));
+            for &i in &open {
+                reads[i].rest = (reads[i].rest - step).max(0.0);
+            }
             left -= step * count;
         }
         time = time.max(until);
     }
     // No event has come yet of any of them: the last piece is still being read.
-    reads.iter_mut().for_each(|r| r.rest = r.rest.max(OVERDUE));
+    for read in &mut reads {
+        read.rest = read.rest.max(OVERDUE);
+    }
     reads
 }
--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -217,11 +217,7 @@
     }
 
     /// Endpoints of a service that take work, those that failed lately only if there is no other.
-    pub(super) fn open_sites<'a>(
-        &'a self,
-        now: Time,
-        demand: &Demand<'_>,
-    ) -> Vec<(usize, Key, &'a Site)> {
+    pub(super) fn open_sites<'a>(&'a self, now: Time, demand: &Demand<'_>) -> Vec<(usize, Key, &'a Site)> {
         let rate = self.cold_rates.get(demand.service).copied().unwrap_or_default();
         let open: Vec<_> = self
             .sites
@@ -230,7 +226,9 @@
             .enumerate()
             .map(|(rank, (k, s))| (rank, *k, s))
             .filter(|(_, k, _)| !demand.tried.contains(k))
-            .filter(|(_, _, s)| rate <= 0.0 || now >= s.cold_until || s.cold.has_room(now, rate, self.sharers()))
+            .filter(|(_, _, s)| {
+                rate <= 0.0 || now >= s.cold_until || s.cold.has_room(now, rate, self.sharers())
+            })
             .collect();
         let sound: Vec<_> = open.iter().copied().filter(|(_, _, s)| now >= s.paused_until).collect();
         if sound.is_empty() { open } else { sound }
@@ -280,7 +278,9 @@
     let gap = demand.gap.as_secs_f64() * 1e3;
     let pass = costs.pass(BRIEFS_LIKED, 0);
     let alone = costs.read(demand.tokens, 1);
-    if alone + pass > gap.min(GAP_USED * millis(demand.first)).max(2.0 * pass) || demand.tokens > costs.memory / 8 {
+    if alone + pass > gap.min(GAP_USED * millis(demand.first)).max(2.0 * pass)
+        || demand.tokens > costs.memory / 8
+    {
         Work::Bulk
     } else {
         Work::Brief
@@ -308,6 +308,11 @@
     duration.as_secs_f64() * 1e3
 }
 
+fn too_late(demand: &Demand<'_>, first: f64) -> Refusal {
+    let wait = (first - millis(demand.first)).max(0.0);
+    Refusal::new(Cause::TooLate, Duration::from_secs_f64(wait / 1e3), demand.jitter)
+}
+
 /// Worth of an answer in relation to others.
 fn value_of(demand: &Demand<'_>) -> f64 {
     VALUE_BASE + demand.tokens as f64 / VALUE_TOKENS
@@ -373,7 +378,7 @@
             return Err(Refusal::new(Cause::NoSlot, Duration::from_secs_f64(wait / 1e3), demand.jitter));
         };
         if first > millis(demand.remaining) {
-            return Err(self.too_late(demand, first));
+            return Err(too_late(demand, first));
         }
         let part = Part { endpoint: c.key, read: read as f32, memory: memory as u32, context: memory as u32 };
         Ok(self.placed(now, demand, Work::Brief, vec![part], first, Vec::new(), 0))
@@ -390,7 +395,7 @@
             && plan.first < LONG_WAIT * millis(demand.first)
             && gain > -SPARED_LOSS * value_of(demand);
         if plan.first > REMAINING_USED * millis(demand.remaining) || (gain < 0.0 && !spared) {
-            return Err(self.too_late(demand, plan.first));
+            return Err(too_late(demand, plan.first));
         }
         let chosen: Vec<&Candidate<'_>> = plan.parts.iter().map(|&i| &self.open[i]).collect();
         let Some(memory) = self.spread(&chosen, demand) else {
@@ -402,11 +407,18 @@
         let parts = chosen
             .iter()
             .zip(&memory)
-            .map(|(c, m)| Part { endpoint: c.key, read, memory: *m as u32, context: if *m > 0 { context } else { 0 } })
+            .map(|(c, m)| Part {
+                endpoint: c.key,
+                read,
+                memory: *m as u32,
+                context: if *m > 0 { context } else { 0 },
+            })
             .collect();
         let tickets = memory[1..].iter().any(|m| *m > 0);
         let helpers = chosen[1..].iter().zip(&memory[1..]);
-        let helpers = helpers.map(|(c, m)| Helper { key: c.key, address: c.site.listing.address, reserve: *m }).collect();
+        let helpers = helpers
+            .map(|(c, m)| Helper { key: c.key, address: c.site.listing.address, reserve: *m })
+            .collect();
         let reserve = if tickets { memory[0] } else { 0 };
         Ok(self.placed(now, demand, Work::Bulk, parts, plan.first, helpers, reserve))
     }
@@ -423,11 +435,6 @@
         own - plan.side - work * ENGINE_WORTH * busy
     }
 
-    fn too_late(&self, demand: &Demand<'_>, first: f64) -> Refusal {
-        let wait = (first - millis(demand.first)).max(0.0);
-        Refusal::new(Cause::TooLate, Duration::from_secs_f64(wait / 1e3), demand.jitter)
-    }
-
     /// The best choice of `parts` engines, the writer first.
     fn plan(&self, demand: &Demand<'_>, parts: usize) -> Option<Plan> {
         let read = self.costs.read(demand.tokens, parts as u32);
--- a/chestnutstage_core/src/pool/plain.rs
+++ b/chestnutstage_core/src/pool/plain.rs
@@ -44,8 +44,15 @@
             return Err(Refusal::new(Cause::NoSlot, SLOT_TIME, demand.jitter));
         };
         let part = Part { endpoint: *key, read: 0.0, memory: 0, context: 0 };
-        let grant =
-            Grant { work: Work::Plain, parts: vec![part], granted: now, first: None, due: now + demand.first, gap: 0, value: 1.0 };
+        let grant = Grant {
+            work: Work::Plain,
+            parts: vec![part],
+            granted: now,
+            first: None,
+            due: now + demand.first,
+            gap: 0,
+            value: 1.0,
+        };
         let placement = Placement {
             number: 0,
             key: *key,
--- a/chestnutstage_core/tests/catalog.rs
+++ b/chestnutstage_core/tests/catalog.rs
@@ -3,9 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chestnutstage_core::catalog::{
-    Account, CallerLimits, Catalog, Directory, Repeat, Route, Share, Target,
-};
+use chestnutstage_core::catalog::{Account, CallerLimits, Catalog, Directory, Repeat, Route, Share, Target};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -39,7 +37,8 @@
 
 #[test]
 fn longest_prefix() {
-    let routes = vec![route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/")];
+    let routes =
+        vec![route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/")];
     let directory = directory(1, routes);
     assert_eq!(found(&directory, "h", "/a/b/c/x"), Some("long"));
     assert_eq!(found(&directory, "h", "/a/x"), Some("short"));
@@ -66,8 +65,7 @@
 #[test]
 fn weighted_shares() {
     let mut route = route("r", "h", "/");
-    route.shares =
-        vec![Share { service: "a".into(), weight: 90 }, Share { service: "b".into(), weight: 10 }];
+    route.shares = vec![Share { service: "a".into(), weight: 90 }, Share { service: "b".into(), weight: 10 }];
     let to_b = |n: &u32| route.service(format!("request-{n}").as_bytes()).unwrap().as_str() == "b";
     let count = (0..10_000).filter(to_b).count();
     assert!((900..1_100).contains(&count), "{count} of 10,000 go to the share of 10 in 100");
--- a/chestnutstage_core/tests/cold_rate.rs
+++ b/chestnutstage_core/tests/cold_rate.rs
@@ -19,7 +19,10 @@
             }
         }
     }
-    sent.iter().map(|&from| sent.iter().filter(|&&t| t >= from && t < from + 1_000).count()).max().unwrap_or(0)
+    sent.iter()
+        .map(|&from| sent.iter().filter(|&&t| t >= from && t < from + 1_000).count())
+        .max()
+        .unwrap_or(0)
 }
 
 #[test]
--- a/chestnutstage_core/tests/common/engines.rs
+++ b/chestnutstage_core/tests/common/engines.rs
@@ -3,10 +3,7 @@
 //! An engine works in passes: it admits what waits while slots are free, reads the waiting prompts, and gives each writer
 //! one event at the end of the pass. A prompt that it reads alone is written in the same pass.
 
-use std::collections::BTreeMap;
-
 use chestnutstage_core::engine::Costs;
-use chestnutstage_core::pool::Key;
 
 /// Costs that the users publish for their engines.
 pub const COSTS: Costs = Costs {
@@ -57,12 +54,6 @@
     pending: Vec<Event>,
 }
 
-/// All engines.
-#[derive(Debug, Default)]
-pub struct Engines {
-    pub engines: BTreeMap<Key, Engine>,
-}
-
 impl Engine {
     /// Takes a part of a prompt; `events` are written here once all parts are read.
     pub fn take(&mut self, request: usize, read: f64, context: u64, events: u32, alone: bool) {
@@ -103,9 +94,9 @@
         }
         let ready = &self.ready;
         let writes = |j: &Job| j.events > 0 && ready.contains(&j.request);
-        let writers = self.jobs.iter().filter(|j| writes(j)).count() as u32;
+        let count = self.jobs.iter().filter(|j| writes(j)).count() as u32;
         let context = self.jobs.iter().filter(|j| writes(j)).map(|j| j.context).sum();
-        let length = if writers > 0 { COSTS.pass(writers, context) } else { COSTS.step };
+        let length = if count > 0 { COSTS.pass(count, context) } else { COSTS.step };
         for job in self.jobs.iter_mut().filter(|j| writes(j)) {
             job.events -= 1;
             let end = job.events == 0;
--- a/chestnutstage_core/tests/load_replay.rs
+++ b/chestnutstage_core/tests/load_replay.rs
@@ -258,7 +258,7 @@
 fn swinging_mix() {
     let mut world = World::new(9, 18, 3);
     world.run(30, |second| {
-        let long = (second / 9.5) as u64 % 2 == 0;
+        let long = ((second / 9.5) as u64).is_multiple_of(2);
         let (brief, middle, archive) = if long { (12.0, 2.3, 3.5) } else { (77.0, 0.9, 0.07) };
         [(Kind::Brief, brief), (Kind::Middle, middle), (Kind::Archive, archive)]
     });
--- a/chestnutstage_core/tests/placement.rs
+++ b/chestnutstage_core/tests/placement.rs
@@ -116,7 +116,8 @@
 #[test]
 fn ended_grant() {
     let mut pool = pool(1);
-    let numbers: Vec<u64> = std::iter::from_fn(|| place(&mut pool, at(0), 100).ok().map(|p| p.number)).collect();
+    let numbers: Vec<u64> =
+        std::iter::from_fn(|| place(&mut pool, at(0), 100).ok().map(|p| p.number)).collect();
     assert!(place(&mut pool, at(1), 100).is_err());
     pool.end(numbers[0]);
     assert!(place(&mut pool, at(2), 100).is_ok(), "a place is free again");
@@ -270,6 +271,9 @@
     cold.cold = 3_000;
     pool.list(at(0), cold);
     let placed = (0..10).filter(|&n| place(&mut pool, at(n * 90), 100).is_ok()).count();
-    assert!((1..=10).contains(&placed) && placed < 5, "{placed} in the first second, from one of eight sharers");
+    assert!(
+        (1..=10).contains(&placed) && placed < 5,
+        "{placed} in the first second, from one of eight sharers"
+    );
     assert!(place(&mut pool, at(3_000), 100).is_ok(), "warm again");
 }
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -426,9 +426,9 @@
         if let Some(last) = self.relay.last() {
             headers.insert(names.last_event.clone(), HeaderValue::from(last));
         }
-        let named = |address| (address, tickets.and_then(|t| t.name(address)));
-        let own = (placement.reserve > 0).then(|| named(placement.listing.address));
-        let helpers: Vec<_> = own.into_iter().chain(placement.helpers.iter().map(|h| named(h.address))).collect();
+        let own = (placement.reserve > 0).then_some(placement.listing.address);
+        let addresses = own.into_iter().chain(placement.helpers.iter().map(|h| h.address));
+        let helpers: Vec<_> = addresses.map(|a| (a, tickets.and_then(|t| t.name(a)))).collect();
         if let Some(value) = self.shared.adapters.dialect.helpers(&helpers) {
             headers.insert(names.helpers.clone(), value);
         }
@@ -448,7 +448,9 @@
     /// Tells the pool that an endpoint failed.
     pub(crate) async fn blame(&self, key: Key) {
         match self.shared.dispatcher.ask(Failed(key)).await {
-            Ok(pause) => info!(endpoint:% = key, pause_ms = pause; "endpoint failed; it gets nothing new for a while"),
+            Ok(pause) => {
+                info!(endpoint:% = key, pause_ms = pause; "endpoint failed; it gets nothing new for a while");
+            }
             Err(e) => warn!("the dispatcher does not answer: {e}"),
         }
     }
--- a/chestnutstage_gateway/src/front.rs
+++ b/chestnutstage_gateway/src/front.rs
@@ -96,7 +96,11 @@
 }
 
 impl AsyncRead for Counted {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         let read = (buf.filled().len() - before) as u64;
--- a/chestnutstage_gateway/src/gateway.rs
+++ b/chestnutstage_gateway/src/gateway.rs
@@ -111,12 +111,8 @@
         let bound = Bound { callers: local(&callers)?, checks: local(&checks)? };
         let clock = Clock::start();
         let granted = Arc::new(Notify::new());
-        let dispatcher = Dispatcher::new(
-            settings.instance.zone.clone(),
-            clock,
-            settings.bounds.clone(),
-            granted.clone(),
-        );
+        let dispatcher =
+            Dispatcher::new(settings.instance.zone.clone(), clock, settings.bounds.clone(), granted.clone());
         let dispatcher = Dispatcher::spawn_with_mailbox(dispatcher, mailbox::unbounded());
         let life = format!("{}-{:08x}", settings.instance.name, rand::random::<u32>());
         info!(callers:% = settings.listen.callers, zone:% = settings.instance.zone; "instance starts");
--- a/chestnutstage_gateway/src/outside.rs
+++ b/chestnutstage_gateway/src/outside.rs
@@ -217,9 +217,5 @@
     ) -> BoxFuture<'a, Result<bool, OutsideError>>;
 
     /// Ends a reservation.
-    fn release<'a>(
-        &'a self,
-        address: SocketAddr,
-        name: &'a str,
-    ) -> BoxFuture<'a, Result<(), OutsideError>>;
+    fn release<'a>(&'a self, address: SocketAddr, name: &'a str) -> BoxFuture<'a, Result<(), OutsideError>>;
 }
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -401,7 +401,7 @@
 
     async fn send_state(&self, connection: &Connection) {
         if let Some(message) = self.state().await {
-            send(connection, message).await;
+            send(connection, message);
         }
     }
 
@@ -415,7 +415,7 @@
             {
                 counter!("chestnutstage_states_sent_total").increment(connections.len() as u64);
                 for connection in &connections {
-                    send(connection, message.clone()).await;
+                    send(connection, message.clone());
                 }
             }
             tokio::select! {
@@ -430,7 +430,7 @@
         let connections: Vec<Connection> = self.lock().values().map(|p| p.connection.clone()).collect();
         if let Some(message) = self.state().await {
             for connection in connections {
-                send(&connection, message.clone()).await;
+                send(&connection, message.clone());
             }
         }
         self.endpoint.close(0_u32.into(), b"leaving");
@@ -438,7 +438,7 @@
 }
 
 /// Sends a message as a datagram if it fits into one, else on a stream.
-async fn send(connection: &Connection, message: Bytes) {
+fn send(connection: &Connection, message: Bytes) {
     if connection.max_datagram_size().is_some_and(|size| message.len() <= size) {
         if let Err(e) = connection.send_datagram(message) {
             debug!("a message to a peer was not sent: {e}");
--- a/chestnutstage_gateway/src/settings.rs
+++ b/chestnutstage_gateway/src/settings.rs
@@ -121,9 +121,8 @@
     }
 
     fn check(self, path: &Path) -> Result<Self, LoadError> {
-        let wrong = |message: &str| {
-            Err(LoadError::Check { path: path.to_owned(), message: message.to_owned() })
-        };
+        let wrong =
+            |message: &str| Err(LoadError::Check { path: path.to_owned(), message: message.to_owned() });
         if self.listen.callers == self.listen.checks {
             return wrong("listen.callers and listen.checks are the same address");
         }
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::Answer;
-use crate::dispatcher::Begun;
+use crate::dispatcher::{Begun, IsPaused};
 use crate::exchange::{Attempt, Exchange, Upstream, drop_own};
 
 /// Longest pauses on time after which a silent stream is taken to another endpoint.
@@ -29,8 +29,8 @@
 /// Targets without a first event after which another endpoint is tried.
 const SILENT_FIRST: f64 = 2.0;
 
-/// Cause of a change of the endpoint when no event came.
-const SILENT: &str = "the stream fell silent";
+/// Silences after which another endpoint is tried although this one seems well.
+const SILENCES: u32 = 2;
 
 /// A stream of events on its way to a caller.
 struct Passage {
@@ -40,12 +40,15 @@
     begun: bool,
     /// Longest pause between two events.
     pause: Duration,
+    /// Silences that were waited out since the last event.
+    silences: u32,
 }
 
 /// What came next on a stream.
 enum Next {
     Bytes(Bytes),
     End,
+    Silent,
     Broken(String),
     TimedOut,
 }
@@ -56,7 +59,14 @@
     head.status = upstream.head.status;
     head.headers = upstream.head.headers.clone();
     drop_own(&mut head.headers);
-    let passage = Passage { exchange, upstream: Some(upstream), last: Instant::now(), begun: false, pause: Duration::ZERO };
+    let passage = Passage {
+        exchange,
+        upstream: Some(upstream),
+        last: Instant::now(),
+        begun: false,
+        pause: Duration::ZERO,
+        silences: 0,
+    };
     let frames = unfold(passage, |mut passage| async move {
         let item = passage.next().await?;
         Some((item.map(Frame::data), passage))
@@ -74,10 +84,11 @@
                     self.finish();
                     return None;
                 }
-                Next::TimedOut => return self.give_up("the time ran out"),
+                Next::TimedOut => return Some(Err(self.give_up("the time ran out"))),
+                Next::Silent => self.doubt().await,
                 Next::Broken(why) => {
                     if !self.resume(&why).await {
-                        return self.give_up(&why);
+                        return Some(Err(self.give_up(&why)));
                     }
                 }
             }
@@ -85,11 +96,11 @@
     }
 
     /// Ends an answer that can't be completed: its connection breaks.
-    fn give_up(&mut self, why: &str) -> Option<io::Result<Bytes>> {
+    fn give_up(&mut self, why: &str) -> io::Error {
         self.upstream = None;
         warn!(request = self.exchange.id, cause = why, events = self.exchange.relay.events(); "stream broken off");
         counter!("chestnutstage_streams_broken_total").increment(1);
-        Some(Err(io::Error::other(why.to_owned())))
+        io::Error::other(why.to_owned())
     }
 
     /// Waits for bytes that make up at least one whole event.
@@ -106,7 +117,7 @@
                 }
                 Ok(None) => return Next::End,
                 Err(_) if Instant::now() >= self.exchange.deadline => return Next::TimedOut,
-                Err(_) => return Next::Broken(SILENT.into()),
+                Err(_) => return Next::Silent,
             };
             let Ok(data) = frame.into_data() else { continue };
             let events = if resumable { self.exchange.relay.take(&data) } else { data };
@@ -125,6 +136,7 @@
             self.note_first(now);
         }
         self.last = now;
+        self.silences = 0;
     }
 
     fn note_first(&mut self, now: Instant) {
@@ -148,7 +160,10 @@
     /// When to stop waiting for more events.
     fn limit(&self) -> Instant {
         let exchange = &self.exchange;
-        if exchange.route.repeat != Repeat::Resumable || exchange.runs >= exchange.route.attempts {
+        if exchange.route.repeat != Repeat::Resumable
+            || exchange.runs >= exchange.route.attempts
+            || self.silences > SILENCES
+        {
             return exchange.deadline;
         }
         let target = exchange.route.target;
@@ -161,31 +176,53 @@
         exchange.deadline.min(self.last + patience)
     }
 
-    /// Goes on with another endpoint; gives whether that was possible.
+    /// Goes on with another endpoint after a silence, if the present one seems gone or is silent for long. An engine that
+    /// reads a long prompt is silent, too; so the present stream is given up only for one that has begun.
+    async fn doubt(&mut self) {
+        self.silences += 1;
+        self.last = Instant::now();
+        let Some(upstream) = &self.upstream else { return };
+        let key = upstream.key;
+        let gone = self.exchange.shared.dispatcher.ask(IsPaused(key)).await.unwrap_or(false);
+        if !gone && self.silences < SILENCES {
+            return;
+        }
+        let partial = self.exchange.relay.partial();
+        if partial > 0 || !self.exchange.may_repeat() {
+            return;
+        }
+        if let Attempt::Begun(upstream) = self.exchange.attempt().await
+            && upstream.head.status.is_success()
+        {
+            self.take_over(upstream, "the stream fell silent");
+        }
+    }
+
+    /// Takes up the stream of another endpoint after the last whole event.
+    fn take_over(&mut self, upstream: Box<Upstream>, why: &str) {
+        let after = self.exchange.relay.last();
+        info!(request = self.exchange.id, cause = why, after:? = after; "stream goes on at another endpoint");
+        counter!("chestnutstage_streams_resumed_total").increment(1);
+        self.exchange.relay.resume();
+        self.upstream = Some(upstream);
+        self.last = Instant::now();
+        self.silences = 0;
+        self.begun = false;
+    }
+
+    /// Goes on with another endpoint after the stream broke; gives whether that was possible.
     async fn resume(&mut self, why: &str) -> bool {
         let Some(broken) = self.upstream.take() else { return false };
-        if why != SILENT {
-            // An engine that is only slow is found by its load reports.
-            self.exchange.blame(broken.key).await;
-        }
+        self.exchange.blame(broken.key).await;
         drop(broken);
-        loop {
-            if self.exchange.route.repeat != Repeat::Resumable || !self.exchange.may_repeat() {
-                break;
-            }
-            self.exchange.relay.resume();
-            let after = self.exchange.relay.last();
-            info!(request = self.exchange.id, cause = why, after:? = after; "stream goes on at another endpoint");
+        while self.exchange.route.repeat == Repeat::Resumable && self.exchange.may_repeat() {
             match self.exchange.attempt().await {
                 Attempt::Begun(upstream) if upstream.head.status.is_success() => {
-                    counter!("chestnutstage_streams_resumed_total").increment(1);
-                    self.upstream = Some(upstream);
-                    self.last = Instant::now();
-                    self.begun = false;
+                    self.take_over(upstream, why);
                     return true;
                 }
                 Attempt::NotRun(_) | Attempt::Unknown(_) => {}
-                Attempt::Begun(_) | Attempt::Refused(_) | Attempt::Barred(_) => break,
+                Attempt::Begun(_) | Attempt::Refused(_) | Attempt::Barred(_) => return false,
             }
         }
         false
--- a/chestnutstage_gateway/src/tickets.rs
+++ b/chestnutstage_gateway/src/tickets.rs
@@ -60,9 +60,7 @@
     ) -> Result<Self, Vec<SocketAddr>> {
         let held: Arc<[Held]> = wanted
             .into_iter()
-            .map(|wanted| {
-                Held { name: format!("{owner}-{}", NEXT.fetch_add(1, Ordering::Relaxed)), wanted }
-            })
+            .map(|wanted| Held { name: format!("{owner}-{}", NEXT.fetch_add(1, Ordering::Relaxed)), wanted })
             .collect();
         let renewal = tokio::spawn(renew(engines.clone(), held.clone()));
         let tickets = Self { engines: engines.clone(), held, renewal };
--- a/chestnutstage_gateway/tests/common/backend.rs
+++ b/chestnutstage_gateway/tests/common/backend.rs
@@ -2,11 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+/// Silence in the middle of a stream, longer than the gateway's first doubts.
+pub const PAUSE: Duration = Duration::from_millis(3_500);
+
 /// What an endpoint does with a request.
 #[derive(Debug, Clone)]
 pub enum Reply {
@@ -16,6 +20,8 @@
     Cut(String),
     /// Sends these bytes and then nothing.
     Hang(String),
+    /// Sends the first bytes, and the second ones after [`PAUSE`].
+    Pause(String, String),
     /// Sends the first bytes and closes the connection; asked to go on after an event, sends the second ones.
     Halves(String, String),
 }
@@ -46,7 +52,7 @@
 /// Head of a stream in chunks, and chunks for these events.
 pub fn stream(ids: std::ops::RangeInclusive<u64>) -> String {
     let head = "HTTP/1.1 200 OK\r\nx-attempt: attempt-1\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n";
-    ids.map(|id| event(id)).fold(head.to_owned(), |text, event| text + &format!("{:x}\r\n{event}\r\n", event.len()))
+    ids.map(event).fold(head.to_owned(), |text, event| text + &format!("{:x}\r\n{event}\r\n", event.len()))
 }
 
 pub fn event(id: u64) -> String {
@@ -89,13 +95,14 @@
             let resumes = request.contains("last-event-id: ");
             self.seen.lock().unwrap().push(request);
             match self.next() {
-                Reply::Halves(_, rest) if resumes => stream.write_all(rest.as_bytes()).await.unwrap(),
-                Reply::Halves(bytes, _) => {
+                Reply::Pause(bytes, rest) => {
                     stream.write_all(bytes.as_bytes()).await.unwrap();
-                    return;
+                    tokio::time::sleep(PAUSE).await;
+                    stream.write_all(rest.as_bytes()).await.unwrap();
                 }
+                Reply::Halves(_, rest) if resumes => stream.write_all(rest.as_bytes()).await.unwrap(),
                 Reply::Bytes(bytes) => stream.write_all(bytes.as_bytes()).await.unwrap(),
-                Reply::Cut(bytes) => {
+                Reply::Cut(bytes) | Reply::Halves(bytes, _) => {
                     stream.write_all(bytes.as_bytes()).await.unwrap();
                     return;
                 }
--- a/chestnutstage_gateway/tests/common/mod.rs
+++ b/chestnutstage_gateway/tests/common/mod.rs
@@ -72,7 +72,7 @@
         route("chat", Repeat::Resumable, "llm"),
         route("tape", Repeat::Stream, "llm"),
         Route {
-            timeout: Duration::from_secs(60),
+            timeout: Duration::from_mins(1),
             target: Target { first: Duration::from_secs(30), gap: Duration::from_secs(10) },
             ..route("archive", Repeat::Resumable, "llm")
         },
--- a/chestnutstage_gateway/tests/event_streams.rs
+++ b/chestnutstage_gateway/tests/event_streams.rs
@@ -54,6 +54,17 @@
     assert!(ask(&stage, "/chat/x", "100").await.text().await.is_err(), "no endpoint can go on with it");
 }
 
+/// An engine that reads a long prompt is silent, too; its stream is kept if no other endpoint takes over.
+#[tokio::test]
+async fn silent_then_on() {
+    let later = stream(1..=4)[stream(1..=2).len()..].to_owned() + END;
+    let backend = Backend::start(vec![Reply::Pause(stream(1..=2), later)]).await;
+    let stage = Stage::start(vec![listing("e1", "llm", backend.address)]).await;
+    let text = ask(&stage, "/chat/x", "100").await.text().await.unwrap();
+    assert_eq!(text, events(1..=4));
+    assert_eq!(backend.seen().len(), 1);
+}
+
 #[tokio::test]
 async fn caller_leaves() {
     let backend = Backend::start(vec![Reply::Hang(stream(1..=1))]).await;
--- a/chestnutstage_gateway/tests/instances.rs
+++ b/chestnutstage_gateway/tests/instances.rs
@@ -12,7 +12,7 @@
 use common::{Stage, catalog, listing};
 use reqwest::{Method, StatusCode};
 
-async fn book(backend: &Backend) -> Arc<Book> {
+fn book(backend: &Backend) -> Arc<Book> {
     let book = Arc::new(Book::default());
     book.tell(Topic::Operators, vec![Fact::Catalog(Box::new(catalog(1)))]);
     let engine = listing("e1", "llm", backend.address);
@@ -29,7 +29,7 @@
 #[tokio::test]
 async fn shared_grants() {
     let backend = Backend::start(vec![Reply::Hang(stream(1..=1))]).await;
-    let book = book(&backend).await;
+    let book = book(&backend);
     let near = Stage::with_book("i1", book.clone()).await;
     let far = Stage::with_book("i2", book.clone()).await;
     near.until_ready().await;
@@ -47,7 +47,7 @@
 #[tokio::test]
 async fn store_out_of_reach() {
     let backend = Backend::start(vec![success("done")]).await;
-    let book = book(&backend).await;
+    let book = book(&backend);
     let stage = Stage::with_book("i1", book.clone()).await;
     stage.until_ready().await;
     book.down.store(true, Ordering::SeqCst);
@@ -65,7 +65,7 @@
 #[tokio::test]
 async fn graceful_shutdown() {
     let backend = Backend::start(vec![Reply::Bytes(stream(1..=2) + END)]).await;
-    let book = book(&backend).await;
+    let book = book(&backend);
     let stage = Stage::with_book("i1", book).await;
     stage.until_ready().await;
     let (bound, http) = (stage.gateway.bound(), stage.http.clone());
@@ -82,7 +82,7 @@
 #[tokio::test]
 async fn departed_endpoint() {
     let backend = Backend::start(vec![success("done")]).await;
-    let book = book(&backend).await;
+    let book = book(&backend);
     let stage = Stage::with_book("i1", book.clone()).await;
     stage.until_ready().await;
     assert_eq!(stage.status(Method::GET, "/look/x").await, StatusCode::OK);
--- a/chestnutstage_gateway/tests/routed_calls.rs
+++ b/chestnutstage_gateway/tests/routed_calls.rs
@@ -79,7 +79,10 @@
     let stage = Stage::start(vec![listing("d1", "desk", backend.address)]).await;
     let answer = stage.request(Method::POST, "/book/x").send().await.unwrap();
     assert_eq!(answer.status(), StatusCode::CONFLICT);
-    assert_eq!((answer.headers()["x-seal"].clone(), answer.text().await.unwrap()), ("s".parse().unwrap(), "no".into()));
+    assert_eq!(
+        (answer.headers()["x-seal"].clone(), answer.text().await.unwrap()),
+        ("s".parse().unwrap(), "no".into())
+    );
 }
 
 #[tokio::test]
--- a/chestnutstage_gateway/tests/true_refusals.rs
+++ b/chestnutstage_gateway/tests/true_refusals.rs
@@ -16,7 +16,11 @@
 #[tokio::test]
 async fn cut_without_answer() {
     let (status, sent) = once(vec![Reply::Cut(String::new())]).await;
-    assert_eq!((status, sent), (StatusCode::BAD_GATEWAY, 1), "it may have run: neither 503 nor a second send");
+    assert_eq!(
+        (status, sent),
+        (StatusCode::BAD_GATEWAY, 1),
+        "it may have run: neither 503 nor a second send"
+    );
 }
 
 #[tokio::test]
@@ -58,14 +62,16 @@
 
 #[tokio::test]
 async fn answer_of_another() {
-    let other = "HTTP/1.1 200 OK\r\nx-attempt: attempt-0\r\nx-seal: s\r\ncontent-length: 2\r\n\r\nno".to_owned();
+    let other =
+        "HTTP/1.1 200 OK\r\nx-attempt: attempt-0\r\nx-seal: s\r\ncontent-length: 2\r\n\r\nno".to_owned();
     let (status, sent) = once(vec![Reply::Bytes(other)]).await;
     assert_eq!((status, sent), (StatusCode::BAD_GATEWAY, 1));
 }
 
 #[tokio::test]
 async fn short_answer() {
-    let short = "HTTP/1.1 200 OK\r\nx-attempt: attempt-1\r\nx-seal: s\r\ncontent-length: 9\r\n\r\nhalf".to_owned();
+    let short =
+        "HTTP/1.1 200 OK\r\nx-attempt: attempt-1\r\nx-seal: s\r\ncontent-length: 9\r\n\r\nhalf".to_owned();
     let (status, sent) = once(vec![Reply::Cut(short)]).await;
     assert_eq!((status, sent), (StatusCode::BAD_GATEWAY, 1), "half an answer is none");
 }
@@ -94,6 +100,10 @@
     let listings = vec![listing("d1", "desk", free), listing("d2", "desk", address)];
     let stage = Stage::start(listings).await;
     for _ in 0..4 {
-        assert_eq!(stage.status(Method::POST, "/book/x").await, StatusCode::OK, "nothing was sent to the other");
+        assert_eq!(
+            stage.status(Method::POST, "/book/x").await,
+            StatusCode::OK,
+            "nothing was sent to the other"
+        );
     }
 }
