Forecast of the slowest of many parts

Ruled out: a wrong read cost (ratio 1.06 at two engines). Change: a term with the square of the logarithm of the number of engines.

--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -73,6 +73,11 @@
 const VALUE_BASE: f64 = 0.7;
 /// Tokens that add one unit of worth.
 const VALUE_TOKENS: f64 = 8_800.0;
+/// Delay of the slowest engine of a shared prompt on busy engines, in milliseconds, by the square of the logarithm of
+/// their number; fitted to the first events of 230 shared prompts.
+const STRAGGLE: f64 = 140.0;
+/// Part of that delay on idle engines.
+const STRAGGLE_IDLE: f64 = 0.4;
 /// Share of an engine's memory that is planned; the rest covers output beyond the estimate.
 const MEMORY_USED: f64 = 0.96;
 /// Longest wait for the first event of such requests, in targets.
@@ -428,11 +433,8 @@
     fn gain(&self, demand: &Demand<'_>, plan: &Plan) -> f64 {
         let late = plan.first > millis(demand.first);
         let own = value_of(demand) * if late { 1.0 - LATE } else { 1.0 };
-        let ahead: f64 = self.open.iter().map(|c| c.load.bulk_reads).sum();
-        let engines = self.open.len().saturating_sub(self.brief_width).max(1) as f64;
-        let busy = (ahead / (engines * BUSY_READS)).min(1.0);
         let work = self.costs.read(demand.tokens, 1) / 1e3;
-        own - plan.side - work * ENGINE_WORTH * busy
+        own - plan.side - work * ENGINE_WORTH * self.busy()
     }
 
     /// The best choice of `parts` engines, the writer first.
@@ -451,7 +453,7 @@
             .collect();
         rated.sort_by(|a, b| (a.0 + a.1).total_cmp(&(b.0 + b.1)));
         rated.truncate(parts);
-        let first = rated.iter().map(|r| r.2).fold(0.0, f64::max);
+        let first = rated.iter().map(|r| r.2).fold(0.0, f64::max) + self.straggle(parts);
         let side: f64 = rated.iter().map(|r| r.0).sum();
         let mut parts: Vec<usize> = rated.iter().map(|r| r.3).collect();
         let needed = demand.tokens + demand.output;
@@ -464,6 +466,20 @@
         (room >= needed).then_some(Plan { cost, first, side, parts })
     }
 
+    /// Time by which the slowest of `parts` engines is later than forecast: each is delayed by what is placed there
+    /// meanwhile, and the first event waits for all of them.
+    fn straggle(&self, parts: usize) -> f64 {
+        let spread = (parts as f64).ln();
+        STRAGGLE * spread * spread * (STRAGGLE_IDLE + (1.0 - STRAGGLE_IDLE) * self.busy())
+    }
+
+    /// Part of the bulk engines' time that is used, from zero to one.
+    fn busy(&self) -> f64 {
+        let ahead: f64 = self.open.iter().map(|c| c.load.bulk_reads).sum();
+        let engines = self.open.len().saturating_sub(self.brief_width).max(1) as f64;
+        (ahead / (engines * BUSY_READS)).min(1.0)
+    }
+
     /// Puts the writer first: an engine with a slot and much free memory. Instances that choose at the same moment differ
     /// among those with enough of it, so that one engine is not promised twice.
     fn lead_first(&self, parts: &mut [usize], needed: u64) -> Option<()> {
