An engine that sends nothing and gives no report is gone: its stream goes on elsewhere, memory is released

Ruled out: a lost release (the renewals went on). Change: while an engine is silent, its own load report is asked every second; two that stay out end the wait. Test: dark_engine, 504 after a minute before, 503 within seconds after.

--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -250,11 +250,6 @@
         self.sites.get(&key).is_some_and(|site| self.takes_work(now, site))
     }
 
-    /// Whether an endpoint failed lately, or is no longer listed.
-    pub fn is_paused(&self, now: Time, key: Key) -> bool {
-        self.sites.get(&key).is_none_or(|site| now < site.paused_until)
-    }
-
     fn takes_work(&self, now: Time, site: &Site) -> bool {
         !site.listing.leaving && now < site.lapse && !self.zones_out.contains(&site.listing.zone)
     }
--- a/chestnutstage_gateway/src/dispatcher.rs
+++ b/chestnutstage_gateway/src/dispatcher.rs
@@ -76,17 +76,6 @@
     }
 }
 
-/// Whether an endpoint failed lately.
-pub(crate) struct IsPaused(pub(crate) Key);
-
-impl Message<IsPaused> for Dispatcher {
-    type Reply = bool;
-
-    async fn handle(&mut self, msg: IsPaused, _: &mut Context<Self, Self::Reply>) -> bool {
-        self.pool.is_paused(self.clock.now(), msg.0)
-    }
-}
-
 /// The first event of a grant came.
 pub(crate) struct Begun(pub(crate) u64);
 
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 //! sends it. What comes back is classified once, in [`Attempt`]: only an outcome that is known as not run may be told so
 //! to the caller, and only what may be repeated is sent again after an unknown one.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -26,7 +27,7 @@
 use log::{info, warn};
 use metrics::{counter, histogram};
 use rand::Rng;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::answer::{Answer, RETRY_SOON, Reason, answer, full};
 use crate::channel::{Channel, SendFailure};
@@ -48,6 +49,12 @@
 const PATIENCE: f64 = 2.0;
 /// Addition to that, for a network that lost a packet.
 const PATIENCE_EXTRA: Duration = Duration::from_millis(80);
+/// Silence of an engine after which it is asked for a load report.
+const GONE_SILENCE: Duration = Duration::from_secs(1);
+/// Time limit of such a report: several round trips between zones.
+const GONE_LIMIT: Duration = Duration::from_millis(350);
+/// Reports in a row that stay out before the engine counts as gone; one may be lost on the way.
+const GONE_MISSES: u32 = 2;
 /// Rank of brief prompts in an engine's queue.
 const URGENT: &str = "2";
 
@@ -91,6 +98,7 @@
     pub(crate) body: Incoming,
     pub(crate) channel: Channel,
     pub(crate) key: Key,
+    pub(crate) address: SocketAddr,
     pub(crate) granted: Granted,
     pub(crate) _tickets: Option<Tickets>,
     pub(crate) sent: Instant,
@@ -324,7 +332,16 @@
         let sent = Instant::now();
         self.sends += 1;
         let limit = self.head_limit(sent, placement.expected);
-        let response = match timeout_at(limit, channel.send(request)).await {
+        let address = placement.listing.address;
+        let answered = tokio::select! {
+            answered = timeout_at(limit, channel.send(request)) => answered,
+            () = until_gone(&self.shared, address), if self.asks_engine() => {
+                self.blame(placement.key).await;
+                self.runs += 1;
+                return Attempt::Unknown(format!("{} is gone", placement.listing.id));
+            }
+        };
+        let response = match answered {
             Ok(Ok(response)) => response,
             Ok(Err(SendFailure::NotSent(why))) => {
                 self.sends -= 1;
@@ -347,6 +364,7 @@
             body,
             channel,
             key: placement.key,
+            address,
             granted,
             _tickets: tickets,
             sent,
@@ -445,6 +463,11 @@
         self.deadline.min(sent + patience)
     }
 
+    /// Whether an engine answers that another one may replace.
+    pub(crate) fn asks_engine(&self) -> bool {
+        self.route.repeat == Repeat::Resumable && self.prompt.tokens > 0
+    }
+
     /// Tells the pool that an endpoint failed.
     pub(crate) async fn blame(&self, key: Key) {
         match self.shared.dispatcher.ask(Failed(key)).await {
@@ -481,7 +504,7 @@
     }
 
     /// Blames the endpoint that kept a request from running.
-    async fn blame_refusing(&self, key: Key, fault: Option<std::net::SocketAddr>, status: StatusCode) {
+    async fn blame_refusing(&self, key: Key, fault: Option<SocketAddr>, status: StatusCode) {
         histogram!("chestnutstage_refused_by_endpoint", "status" => status.as_u16().to_string()).record(1.0);
         match fault {
             Some(address) => {
@@ -528,6 +551,19 @@
     }
 }
 
+/// Waits until an engine that sends nothing gives no load report either. An engine that reads a long prompt is silent, but
+/// it reports.
+pub(crate) async fn until_gone(shared: &Shared, address: SocketAddr) {
+    let mut misses = 0;
+    while misses < GONE_MISSES {
+        if misses == 0 {
+            sleep(GONE_SILENCE).await;
+        }
+        let report = timeout(GONE_LIMIT, shared.adapters.engines.report(address)).await;
+        misses = if matches!(report, Ok(Ok(_))) { 0 } else { misses + 1 };
+    }
+}
+
 /// Whether a status promises that the request did not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -19,8 +19,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::Answer;
-use crate::dispatcher::{Begun, IsPaused};
-use crate::exchange::{Attempt, Exchange, Upstream, drop_own};
+use crate::dispatcher::Begun;
+use crate::exchange::{Attempt, Exchange, Upstream, drop_own, until_gone};
 
 /// Longest pauses on time after which a silent stream is taken to another endpoint.
 const SILENT_GAPS: u32 = 3;
@@ -29,7 +29,7 @@
 /// Targets without a first event after which another endpoint is tried.
 const SILENT_FIRST: f64 = 2.0;
 
-/// Silences after which another endpoint is tried although this one seems well.
+/// Silences after which another endpoint is tried although this one still reports its load.
 const SILENCES: u32 = 2;
 
 /// A stream of events on its way to a caller.
@@ -109,7 +109,14 @@
         loop {
             let limit = self.limit();
             let Some(upstream) = &mut self.upstream else { return Next::End };
-            let frame = match timeout_at(limit, upstream.body.frame()).await {
+            let engine = self.exchange.asks_engine();
+            let read = tokio::select! {
+                read = timeout_at(limit, upstream.body.frame()) => read,
+                () = until_gone(&self.exchange.shared, upstream.address), if engine => {
+                    return Next::Broken("the engine is gone".into());
+                }
+            };
+            let frame = match read {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(e))) => return Next::Broken(e.to_string()),
                 Ok(None) if resumable && self.exchange.relay.partial() > 0 => {
@@ -162,7 +169,7 @@
         let exchange = &self.exchange;
         if exchange.route.repeat != Repeat::Resumable
             || exchange.runs >= exchange.route.attempts
-            || self.silences > SILENCES
+            || self.silences >= SILENCES
         {
             return exchange.deadline;
         }
@@ -176,19 +183,12 @@
         exchange.deadline.min(self.last + patience)
     }
 
-    /// Goes on with another endpoint after a silence, if the present one seems gone or is silent for long. An engine that
-    /// reads a long prompt is silent, too; so the present stream is given up only for one that has begun.
+    /// Tries another endpoint after a silence. An engine that reads a long prompt is silent, too; so the present stream is
+    /// given up only for one that has begun.
     async fn doubt(&mut self) {
         self.silences += 1;
         self.last = Instant::now();
-        let Some(upstream) = &self.upstream else { return };
-        let key = upstream.key;
-        let gone = self.exchange.shared.dispatcher.ask(IsPaused(key)).await.unwrap_or(false);
-        if !gone && self.silences < SILENCES {
-            return;
-        }
-        let partial = self.exchange.relay.partial();
-        if partial > 0 || !self.exchange.may_repeat() {
+        if self.silences < SILENCES || self.exchange.relay.partial() > 0 || !self.exchange.may_repeat() {
             return;
         }
         if let Attempt::Begun(upstream) = self.exchange.attempt().await
--- a/chestnutstage_gateway/tests/common/outside.rs
+++ b/chestnutstage_gateway/tests/common/outside.rs
@@ -161,12 +161,21 @@
     pub reserved: Mutex<HashMap<String, u64>>,
     pub granted: AtomicU64,
     pub refuses: AtomicBool,
+    /// Engines that give no report.
+    pub mute: Mutex<Vec<SocketAddr>>,
     pub released: Notify,
 }
 
 impl Engines for Desk {
-    fn report(&self, _: SocketAddr) -> BoxFuture<'_, Result<Report, OutsideError>> {
-        async { Ok(Report { pace: 1.0, waiting: 0, running: 0, used: 0 }) }.boxed()
+    fn report(&self, address: SocketAddr) -> BoxFuture<'_, Result<Report, OutsideError>> {
+        async move {
+            if self.mute.lock().unwrap().contains(&address) {
+                let failure = Failure::NoAnswer("mute".into());
+                return Err(OutsideError { step: Step::Report, peer: address.to_string(), failure });
+            }
+            Ok(Report { pace: 1.0, waiting: 0, running: 0, used: 0 })
+        }
+        .boxed()
     }
 
     fn reserve<'a>(
--- a/chestnutstage_gateway/tests/event_streams.rs
+++ b/chestnutstage_gateway/tests/event_streams.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use common::backend::{Backend, END, Reply, event, stream};
 use common::{Stage, listing};
-use reqwest::{Method, Response};
+use reqwest::{Method, Response, StatusCode};
 
 async fn ask(stage: &Stage, path: &str, tokens: &str) -> Response {
     stage.request(Method::POST, path).header("x-tokens", tokens).body("prompt").send().await.unwrap()
@@ -65,6 +66,31 @@
     assert_eq!(backend.seen().len(), 1);
 }
 
+/// An engine that went dark before its first event gives no reports: its memory is released long before the deadline.
+#[tokio::test]
+async fn dark_engine() {
+    let backend = Backend::start(vec![Reply::Hang(String::new())]).await;
+    let listings = (1..=4).map(|n| listing(&format!("e{n}"), "llm", backend.address)).collect();
+    let stage = Stage::start(listings).await;
+    let request = stage.request(Method::POST, "/archive/x").header("x-tokens", "400000");
+    let asked = tokio::spawn(request.header("x-remaining", "60000").send());
+    while backend.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(!stage.desk.reserved.lock().unwrap().is_empty());
+    stage.desk.mute.lock().unwrap().push(backend.address);
+    stage.desk.refuses.store(true, Ordering::SeqCst);
+    let answer = asked.await.unwrap().unwrap();
+    assert_eq!(
+        answer.status(),
+        StatusCode::SERVICE_UNAVAILABLE,
+        "tried elsewhere, not waited for until the deadline"
+    );
+    while !stage.desk.reserved.lock().unwrap().is_empty() {
+        stage.desk.released.notified().await;
+    }
+}
+
 #[tokio::test]
 async fn caller_leaves() {
     let backend = Backend::start(vec![Reply::Hang(stream(1..=1))]).await;
@@ -111,6 +137,6 @@
     stage.desk.refuses.store(true, Ordering::SeqCst);
     let request = stage.request(Method::POST, "/archive/x").header("x-tokens", "400000");
     let answer = request.header("x-remaining", "60000").send().await.unwrap();
-    assert_eq!(answer.status(), reqwest::StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert!(backend.seen().is_empty(), "nothing is sent without the memory");
 }
