--- a/chestnutstage_core/benches/decisions.rs
+++ b/chestnutstage_core/benches/decisions.rs
@@ -7,10 +7,12 @@
 use std::time::{Duration, Instant};
 
 use chestnutstage_core::endpoint::{Endpoint, Kind, Report, Size, Speed};
+use chestnutstage_core::engine::Costs;
 use chestnutstage_core::ids::{BootId, InstanceId, ModelId, RequestId, Ticket, ZoneId};
 use chestnutstage_core::length::{Class, Tokens};
 use chestnutstage_core::members::ModelSet;
 use chestnutstage_core::owner::{Ask, End, Limits, Owner};
+use chestnutstage_core::pool::{Demand, Listing, Pool};
 use chestnutstage_core::route::{Peer, Router};
 use chestnutstage_core::time::Time;
 use chestnutstage_core::window::{Capacity, Load};
@@ -24,6 +26,10 @@
 const ADMIT_BOUND: Duration = Duration::from_micros(10);
 /// Waiting requests for the bound on admission.
 const QUEUED: u64 = 10_000;
+/// Bound on one placement of a prompt among [`PLACED`] engines with eight grants each.
+const PLACE_BOUND: Duration = Duration::from_micros(20);
+/// Engines for the bound on placement.
+const PLACED: usize = 64;
 /// Repetitions of which the median counts.
 const REPEATS: usize = 2_001;
 
@@ -84,6 +90,77 @@
     owner
 }
 
+/// Engines with eight brief grants each, as all instances together would have them.
+fn pool(engines: usize) -> Pool {
+    let costs = Costs {
+        step: 1.02,
+        writer: 0.002,
+        context: 0.004,
+        rate: 206.0,
+        pairs: 0.138,
+        chunk: 2_048,
+        stride: 43,
+        slots: 16,
+        memory: 232_000,
+        hop: 0.075,
+    };
+    let mut pool = Pool::new("a".into(), 1);
+    pool.set_instances(1);
+    pool.set_service(model(), Some(costs), 0.0);
+    for i in 0..engines {
+        let listing = Listing {
+            id: format!("e{i}").as_str().into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: "a".into(),
+            service: model(),
+            slots: 16,
+            leaving: false,
+            born: 1,
+            cold: 0,
+        };
+        pool.list(Time::ZERO, listing);
+    }
+    for n in 0..engines as u64 * 8 {
+        if let Ok(placement) = pool.place(Time::ZERO, &prompt(&model(), 1_000)) {
+            pool.begin(Time::from_millis(n), placement.number);
+        }
+    }
+    pool
+}
+
+fn prompt(service: &ModelId, tokens: u64) -> Demand<'_> {
+    Demand {
+        service,
+        tokens,
+        output: 1_400,
+        first: Duration::from_millis(if tokens < 10_000 { 300 } else { 2_500 }),
+        gap: Duration::from_millis(if tokens < 10_000 { 250 } else { 1_000 }),
+        remaining: Duration::from_secs(10),
+        tried: &[],
+        jitter: 0.5,
+    }
+}
+
+/// Places a prompt and ends its grant.
+fn place(pool: &mut Pool, tokens: u64) {
+    if let Ok(placement) = black_box(pool.place(Time::from_millis(900), &prompt(&model(), tokens))) {
+        pool.end(placement.number);
+    }
+}
+
+fn placement(c: &mut Criterion) {
+    let mut group = c.benchmark_group("place");
+    for engines in [18, 64, 250, 1_000] {
+        for tokens in [5_000, 133_000] {
+            let mut pool = pool(engines);
+            group.bench_with_input(BenchmarkId::new(tokens.to_string(), engines), &tokens, |b, &tokens| {
+                b.iter(|| place(&mut pool, tokens));
+            });
+        }
+    }
+    group.finish();
+}
+
 /// Median time of `step`, over many repetitions.
 fn median(mut step: impl FnMut(u64)) -> Duration {
     let mut times: Vec<_> = (0..REPEATS as u64)
@@ -151,9 +228,14 @@
         admitted += start.elapsed();
     }
     let admitted = admitted / REPEATS as u32;
+    let mut pool = pool(PLACED);
+    let brief = median(|_| place(&mut pool, 5_000));
+    let long = median(|_| place(&mut pool, 133_000));
+    let third = check(&format!("placement of a brief prompt on {PLACED} engines"), brief, PLACE_BOUND);
+    let fourth = check(&format!("placement of a long prompt on {PLACED} engines"), long, PLACE_BOUND);
     let first = check(&format!("routing among {ROUTED} candidates"), choice, ROUTE_BOUND);
     let second = check(&format!("admission before {QUEUED} waiting requests (mean)"), admitted, ADMIT_BOUND);
-    first && second
+    first && second && third && fourth
 }
 
 fn main() {
@@ -168,5 +250,6 @@
         .sample_size(20);
     routing(&mut c);
     admission(&mut c);
+    placement(&mut c);
     assert!(bounds(), "a bound is crossed");
 }
--- a/chestnutstage_core/src/pool/load.rs
+++ b/chestnutstage_core/src/pool/load.rs
@@ -1,6 +1,7 @@
 //! Load of an endpoint, worked out from the grants on it.
 
 use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, Hasher};
 
 use super::{Grant, Key, Pool, Work};
 use crate::time::Time;
@@ -8,6 +9,31 @@
 /// Rest of a read that lasts longer than it should, in milliseconds.
 const OVERDUE: f64 = 20.0;
 
+/// Takes a [`Key`] as it is: it is a hash already.
+#[derive(Debug, Default)]
+pub(super) struct KeyHasher(u64);
+
+impl Hasher for KeyHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(byte);
+        }
+    }
+
+    fn write_u64(&mut self, number: u64) {
+        self.0 = number;
+    }
+}
+
+type KeyMap<T> = HashMap<Key, T, BuildHasherDefault<KeyHasher>>;
+
+/// Loads by endpoint.
+pub(super) type Loads = KeyMap<Load>;
+
 /// Load of one endpoint.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Load {
@@ -31,6 +57,8 @@
     writers: Vec<(u32, f32)>,
     /// The same for each read whose writing begins soon; the time until its first event is late counts as a pause.
     readers: Vec<(f64, f32)>,
+    /// Shortest pass that makes one of them late, in milliseconds.
+    least: Option<f64>,
 }
 
 impl Load {
@@ -49,6 +77,9 @@
 
     /// Worth that is lost when a pass lasts `longer` instead of `pass` milliseconds.
     pub(super) fn added_loss(&self, pass: f64, longer: f64) -> f64 {
+        if self.least.is_none_or(|least| longer <= least) {
+            return 0.0;
+        }
         self.loss(longer) - self.loss(pass)
     }
 }
@@ -60,9 +91,9 @@
     }
 
     /// Loads of all endpoints that hold anything.
-    pub(super) fn loads(&self, now: Time) -> HashMap<Key, Load> {
-        let mut loads: HashMap<Key, Load> = HashMap::new();
-        let mut reads: HashMap<Key, Vec<Read>> = HashMap::new();
+    pub(super) fn loads(&self, now: Time) -> Loads {
+        let mut loads = Loads::default();
+        let mut reads: KeyMap<Vec<Read>> = KeyMap::default();
         for grant in self.grants() {
             add(now, &mut loads, grant);
             if grant.first.is_none() {
@@ -87,7 +118,7 @@
     }
 }
 
-fn add(now: Time, loads: &mut HashMap<Key, Load>, grant: &Grant) {
+fn add(now: Time, loads: &mut Loads, grant: &Grant) {
     for (index, part) in grant.parts.iter().enumerate() {
         let load = loads.entry(part.endpoint).or_default();
         load.memory += u64::from(part.memory);
@@ -101,12 +132,14 @@
             Work::Brief => load.briefs += 1,
             Work::Bulk => load.bulks += 1,
         }
+        let mut patience = f64::from(grant.gap);
         if grant.first.is_some() {
             load.writers.push((grant.gap, grant.value));
         } else {
-            let rest = grant.due.since(now).as_secs_f64() * 1e3;
-            load.readers.push((rest.min(f64::from(grant.gap)), grant.value));
+            patience = patience.min(grant.due.since(now).as_secs_f64() * 1e3);
+            load.readers.push((patience, grant.value));
         }
+        load.least = Some(load.least.map_or(patience, |least| least.min(patience)));
     }
 }
 
--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod place;
 mod plain;
+mod prompt;
 
 use core::net::SocketAddr;
 use std::collections::{BTreeMap, HashMap};
--- a/chestnutstage_core/src/pool/plain.rs
+++ b/chestnutstage_core/src/pool/plain.rs
@@ -3,11 +3,10 @@
 //! The endpoint with the least held work for its slots gets the call; among equals one in the same zone. A call that would
 //! wait longer than it may is refused at once.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
-use super::load::Load;
-use super::place::{Cause, Demand, Placement, Refusal};
+use super::load::Loads;
+use super::place::{Cause, Demand, Granting, Placement, Refusal};
 use super::{Grant, Key, Part, Pool, Work};
 use crate::time::Time;
 
@@ -23,8 +22,8 @@
         &self,
         now: Time,
         demand: &Demand<'_>,
-        loads: &HashMap<Key, Load>,
-    ) -> Result<(Key, Grant, Placement), Refusal> {
+        loads: &Loads,
+    ) -> Result<Granting, Refusal> {
         let open = self.open_sites(now, demand);
         if open.is_empty() {
             return Err(Refusal::new(Cause::NoEndpoint, SLOT_TIME, demand.jitter));
--- /dev/null
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -0,0 +1,331 @@
+//! One attempt to have a request answered by an endpoint.
+//!
+//! An attempt places the request, reserves memory where the placement says so, connects, checks once more that the request
+//! may go there, and sends it. What comes back is classified once, in [`Attempt`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutstage_core::catalog::Repeat;
+use chestnutstage_core::pool::{Cause, Key, Placement, Refusal};
+use http::header::CONNECTION;
+use http::response;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use kameo::error::SendError;
+use log::{info, warn};
+use metrics::histogram;
+use rand::Rng;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+use crate::admission::find_customer;
+use crate::answer::{Answer, RETRY_SOON, Reason, answer};
+use crate::channel::{Channel, SendFailure};
+use crate::dispatcher::{Ended, Failed, FailedAt, IsOpen, Place};
+use crate::exchange::Exchange;
+use crate::headers::text;
+use crate::shared::Shared;
+use crate::tickets::{Tickets, Wanted};
+
+/// Targets for which an idempotent call waits before it is sent to another endpoint.
+const PATIENCE: f64 = 2.0;
+/// Addition to that, for a network that lost a packet.
+const PATIENCE_EXTRA: Duration = Duration::from_millis(80);
+/// Silence of an engine after which it is asked for a load report.
+const GONE_SILENCE: Duration = Duration::from_secs(1);
+/// Time limit of such a report: several round trips between zones.
+const GONE_LIMIT: Duration = Duration::from_millis(350);
+/// Reports in a row that stay out before the engine counts as gone; one may be lost on the way.
+const GONE_MISSES: u32 = 2;
+/// Rank of brief prompts in an engine's queue.
+const URGENT: &str = "2";
+
+/// Ends a grant when dropped.
+pub(crate) struct Granted {
+    shared: Arc<Shared>,
+    pub(crate) number: u64,
+}
+
+impl Drop for Granted {
+    fn drop(&mut self) {
+        if self.shared.dispatcher.tell(Ended(self.number)).try_send().is_err() {
+            warn!(grant = self.number; "the dispatcher is gone; the grant stays until the process ends");
+        }
+    }
+}
+
+/// An answer that an endpoint has begun.
+pub(crate) struct Upstream {
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) channel: Channel,
+    pub(crate) key: Key,
+    pub(crate) address: SocketAddr,
+    pub(crate) granted: Granted,
+    pub(crate) _tickets: Option<Tickets>,
+    pub(crate) sent: Instant,
+    pub(crate) expected: Duration,
+}
+
+/// What became of one attempt.
+pub(crate) enum Attempt {
+    /// An endpoint answers.
+    Begun(Box<Upstream>),
+    /// It did not run, and can be tried elsewhere.
+    NotRun(String),
+    /// It may have run.
+    Unknown(String),
+    /// No endpoint takes it.
+    Refused(Refusal),
+    /// The gateway must not send it.
+    Barred(Answer),
+}
+
+impl Exchange {
+    /// Sends the request to one endpoint.
+    pub(crate) async fn attempt(&mut self) -> Attempt {
+        let placement = match self.place().await {
+            Ok(placement) => placement,
+            Err(refusal) => return Attempt::Refused(refusal),
+        };
+        let granted = Granted { shared: self.shared.clone(), number: placement.number };
+        info!(
+            request = self.id, route = self.route.name, endpoint:% = placement.listing.id,
+            tokens = self.prompt.tokens, helpers = placement.helpers.len(), tickets = placement.reserve > 0,
+            parts = format!("{:?}", placement.ranks),
+            expected_ms = placement.expected.as_millis() as u64; "placed"
+        );
+        self.tried.push(placement.key);
+        let tickets = match self.reserve(&placement).await {
+            Ok(tickets) => tickets,
+            Err(why) => return Attempt::NotRun(why),
+        };
+        let once = !self.route.repeat.is_repeatable();
+        let got = self.shared.channels.get(placement.key, placement.listing.address, once).await;
+        let mut channel = match got {
+            Ok(channel) => channel,
+            Err(e) => {
+                self.blame(placement.key).await;
+                return Attempt::NotRun(format!("connection to {}: {e}", placement.listing.id));
+            }
+        };
+        if let Some(barred) = self.check_again(placement.key).await {
+            return barred;
+        }
+        let Some(request) = self.request(&placement, tickets.as_ref()) else {
+            return Attempt::Barred(answer(Reason::Malformed, None));
+        };
+        let sent = Instant::now();
+        self.sends += 1;
+        let limit = self.head_limit(sent, placement.expected);
+        let address = placement.listing.address;
+        let answered = tokio::select! {
+            answered = timeout_at(limit, channel.send(request)) => answered,
+            () = until_gone(&self.shared, address), if self.asks_engine() => {
+                self.blame(placement.key).await;
+                self.runs += 1;
+                return Attempt::Unknown(format!("{} is gone", placement.listing.id));
+            }
+        };
+        let response = match answered {
+            Ok(Ok(response)) => response,
+            Ok(Err(SendFailure::NotSent(why))) => {
+                self.sends -= 1;
+                return Attempt::NotRun(format!("{} closed the connection: {why}", placement.listing.id));
+            }
+            Ok(Err(SendFailure::Unknown(why))) => {
+                self.blame(placement.key).await;
+                self.runs += 1;
+                return Attempt::Unknown(format!("{}: {why}", placement.listing.id));
+            }
+            Err(_) => {
+                self.blame(placement.key).await;
+                self.runs += 1;
+                return Attempt::Unknown(format!("no answer of {} in time", placement.listing.id));
+            }
+        };
+        let (head, body) = response.into_parts();
+        let upstream = Upstream {
+            head,
+            body,
+            channel,
+            key: placement.key,
+            address,
+            granted,
+            _tickets: tickets,
+            sent,
+            expected: placement.expected,
+        };
+        self.classify(upstream).await
+    }
+
+    async fn place(&self) -> Result<Placement, Refusal> {
+        let elapsed = self.arrived.elapsed();
+        let place = Place {
+            service: self.service.clone(),
+            tokens: self.prompt.tokens,
+            output: self.prompt.output,
+            first: self.route.target.first.saturating_sub(elapsed),
+            gap: self.route.target.gap,
+            remaining: self.deadline.saturating_duration_since(Instant::now()),
+            tried: self.tried.clone(),
+            jitter: rand::rng().random_range(0.0..1.0),
+        };
+        match self.shared.dispatcher.ask(place).await {
+            Ok(placement) => Ok(placement),
+            Err(SendError::HandlerError(refusal)) => Err(refusal),
+            Err(e) => {
+                warn!("the dispatcher does not answer: {e}");
+                Err(Refusal { cause: Cause::NoEndpoint, retry: RETRY_SOON })
+            }
+        }
+    }
+
+    /// Reserves the memory that a placement needs.
+    async fn reserve(&self, placement: &Placement) -> Result<Option<Tickets>, String> {
+        let mut wanted = Vec::new();
+        if placement.reserve > 0 {
+            wanted.push(Wanted { address: placement.listing.address, tokens: placement.reserve });
+        }
+        let helpers = placement.helpers.iter().filter(|h| h.reserve > 0);
+        wanted.extend(helpers.map(|h| Wanted { address: h.address, tokens: h.reserve }));
+        if wanted.is_empty() {
+            return Ok(None);
+        }
+        let reserved = Tickets::reserve(&self.shared.adapters.engines, &self.shared.life, wanted).await;
+        reserved.map(Some).map_err(|missing| format!("no memory reserved at {missing:?}"))
+    }
+
+    /// Checks right before a send what may have changed since the placement.
+    async fn check_again(&self, key: Key) -> Option<Attempt> {
+        if !self.shared.dispatcher.ask(IsOpen(key)).await.unwrap_or(false) {
+            return Some(Attempt::NotRun("the endpoint takes no more work".into()));
+        }
+        let Some(directory) = self.shared.knowledge.directory() else {
+            return Some(Attempt::Barred(answer(Reason::Unready, Some(RETRY_SOON))));
+        };
+        match find_customer(&self.shared, &directory, &self.route, self.key.as_deref()) {
+            Ok(_) => None,
+            Err((reason, retry)) => Some(Attempt::Barred(answer(reason, retry))),
+        }
+    }
+
+    /// The request as the endpoint gets it.
+    fn request(&self, placement: &Placement, tickets: Option<&Tickets>) -> Option<Request<Full<Bytes>>> {
+        let names = self.shared.adapters.dialect.names();
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = self.parts.uri.clone();
+        let mut headers = self.parts.headers.clone();
+        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        headers.insert(names.remaining.clone(), HeaderValue::from_str(&left.to_string()).ok()?);
+        let expected = HeaderValue::from_str(placement.listing.id.as_str()).ok()?;
+        headers.insert(names.expected.clone(), expected);
+        if let Some(customer) = &self.customer {
+            headers.insert(names.customer.clone(), HeaderValue::from_str(customer.as_str()).ok()?);
+        }
+        if self.route.repeat.is_stream() && placement.helpers.is_empty() {
+            headers.insert(names.urgency.clone(), HeaderValue::from_static(URGENT));
+        }
+        if let Some(last) = self.relay.last() {
+            headers.insert(names.last_event.clone(), HeaderValue::from(last));
+        }
+        let own = (placement.reserve > 0).then_some(placement.listing.address);
+        let addresses = own.into_iter().chain(placement.helpers.iter().map(|h| h.address));
+        let helpers: Vec<_> = addresses.map(|a| (a, tickets.and_then(|t| t.name(a)))).collect();
+        if let Some(value) = self.shared.adapters.dialect.helpers(&helpers) {
+            headers.insert(names.helpers.clone(), value);
+        }
+        *request.headers_mut() = headers;
+        Some(request)
+    }
+
+    /// When to stop waiting for the head of an answer.
+    fn head_limit(&self, sent: Instant, expected: Duration) -> Instant {
+        if self.route.repeat != Repeat::Idempotent || self.runs + 1 >= self.route.attempts {
+            return self.deadline;
+        }
+        let patience = self.route.target.first.max(expected).mul_f64(PATIENCE) + PATIENCE_EXTRA;
+        self.deadline.min(sent + patience)
+    }
+
+    /// Whether an engine answers that another one may replace.
+    pub(crate) fn asks_engine(&self) -> bool {
+        self.route.repeat == Repeat::Resumable && self.prompt.tokens > 0
+    }
+
+    /// Tells the pool that an endpoint failed.
+    pub(crate) async fn blame(&self, key: Key) {
+        match self.shared.dispatcher.ask(Failed(key)).await {
+            Ok(pause) => {
+                info!(endpoint:% = key, pause_ms = pause; "endpoint failed; it gets nothing new for a while");
+            }
+            Err(e) => warn!("the dispatcher does not answer: {e}"),
+        }
+    }
+
+    async fn classify(&mut self, upstream: Upstream) -> Attempt {
+        let names = self.shared.adapters.dialect.names();
+        let head = &upstream.head;
+        let status = head.status;
+        let echo = text(&head.headers, &names.attempt);
+        let mine = echo == Some(self.id.as_str());
+        let not_run = head.headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
+        if echo.is_some() && !mine {
+            self.blame(upstream.key).await;
+            self.runs += 1;
+            return Attempt::Unknown("the answer belongs to another request".into());
+        }
+        if not_run && status != StatusCode::BAD_REQUEST {
+            let fault = head.headers.get(&names.fault).and_then(|v| self.shared.adapters.dialect.fault(v));
+            self.blame_refusing(upstream.key, fault, status).await;
+            return Attempt::NotRun(format!("refused with status {status}"));
+        }
+        self.runs += 1;
+        if status.is_success() && !(mine && head.headers.contains_key(&names.seal)) {
+            self.blame(upstream.key).await;
+            return Attempt::Unknown("a success without the endpoint's mark".into());
+        }
+        Attempt::Begun(Box::new(upstream))
+    }
+
+    /// Blames the endpoint that kept a request from running.
+    async fn blame_refusing(&self, key: Key, fault: Option<SocketAddr>, status: StatusCode) {
+        histogram!("chestnutstage_refused_by_endpoint", "status" => status.as_u16().to_string()).record(1.0);
+        match fault {
+            Some(address) => {
+                let blamed = self.shared.dispatcher.ask(FailedAt(address)).await;
+                info!(endpoint:% = address, known = blamed.is_ok(); "a helper kept the request from running");
+            }
+            None => self.blame(key).await,
+        }
+    }
+}
+
+impl Upstream {
+    /// Whether the endpoint answers with a success.
+    pub(crate) fn is_success(&self) -> bool {
+        self.head.status.is_success()
+    }
+
+    /// Whether the endpoint closes the connection after this answer.
+    pub(crate) fn closes(&self) -> bool {
+        text(&self.head.headers, &CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close"))
+    }
+}
+
+/// Waits until an engine that sends nothing gives no load report either. An engine that reads a long prompt is silent, but
+/// it reports.
+pub(crate) async fn until_gone(shared: &Shared, address: SocketAddr) {
+    let mut misses = 0;
+    while misses < GONE_MISSES {
+        if misses == 0 {
+            sleep(GONE_SILENCE).await;
+        }
+        let report = timeout(GONE_LIMIT, shared.adapters.engines.report(address)).await;
+        misses = if matches!(report, Ok(Ok(_))) { 0 } else { misses + 1 };
+    }
+}
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -4,12 +4,15 @@
 //! route's service. All instances share one picture of the load: each tells the others what it granted. Everything outside
 //! is behind the traits in [`outside`]; the decisions are in `chestnutstage_core`.
 //!
-//! The path of a request reads: `front` (connection) → `exchange` (route, customer, attempts) → `dispatcher` (placement)
+//! The path of a request reads: `front` (connection) → `exchange` (the whole request) → `admission` (route,
+//! customer, body) → `attempt` (one endpoint) → `dispatcher` (placement)
 //! → `tickets` (memory) → `channel` (endpoint) → `stream` (events back to the caller).
 
 #![warn(missing_docs)]
 
+mod admission;
 mod answer;
+mod attempt;
 mod channel;
 mod checks;
 mod clock;
@@ -17,6 +20,7 @@
 mod exchange;
 mod front;
 mod gateway;
+mod headers;
 mod knowledge;
 pub mod logging;
 pub mod outside;
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -19,8 +19,10 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::Answer;
+use crate::attempt::{Attempt, Upstream, until_gone};
 use crate::dispatcher::Begun;
-use crate::exchange::{Attempt, Exchange, Upstream, drop_own, until_gone};
+use crate::exchange::Exchange;
+use crate::headers::drop_own;
 
 /// Longest pauses on time after which a silent stream is taken to another endpoint.
 const SILENT_GAPS: u32 = 3;
