--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -17,17 +17,17 @@
 use crate::time::Time;
 
 /// Brief requests on an engine at which their pauses stay short.
-const BRIEFS_LIKED: u32 = 8;
+const BRIEFS_LIKED: u32 = 10;
 /// Passes that a brief prompt's read may last.
 const BRIEF_PASSES: f64 = 3.2;
 /// Brief requests on an engine that still meet their targets.
-const BRIEFS_DENSE: u32 = 12;
+const BRIEFS_DENSE: u32 = 14;
 /// Reads that bulk work may have ahead for each of its engines, in milliseconds.
 const BULK_READS_LIKED: f64 = 250.0;
 /// Reads ahead of each bulk engine at which all its time counts as used, in milliseconds.
 const BUSY_READS: f64 = 500.0;
 /// Worth that a busy engine earns in a second.
-const ENGINE_WORTH: f64 = 6.0;
+const ENGINE_WORTH: f64 = 8.0;
 /// Share of the requests that are admitted although others would earn more, so that no length is shut out.
 const SPARED: f64 = 0.55;
 /// Part of such a request's worth by which it may fall short.
--- a/chestnutstage_gateway/src/knowledge.rs
+++ b/chestnutstage_gateway/src/knowledge.rs
@@ -28,13 +28,15 @@
 use crate::peers::PeerRules;
 
 /// Longest wait of a call for changes; its answer also proves that the knowledge is fresh.
-const FOLLOW_WAIT: Duration = Duration::from_millis(1_400);
+const FOLLOW_WAIT: Duration = Duration::from_secs(2);
 /// Longest wait for changes of the instances, which peers notice by themselves.
 const MEMBERS_WAIT: Duration = Duration::from_secs(20);
-/// Pause after a failed call.
+/// Pause after a first failed call; grows by half with each one that follows.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after a failed call: the rules are to be known again well within a second of the store's return.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(600);
 /// Silence of the store from which entries may have lapsed without their endpoints being gone.
-const OUTAGE: Duration = Duration::from_millis(1_800);
+const OUTAGE: Duration = Duration::from_millis(1_200);
 /// Time after an outage in which lapsed entries come back.
 const RETURN: Duration = Duration::from_millis(2_500);
 
@@ -204,6 +206,7 @@
     pub(crate) async fn run(self) {
         let mut revision = None;
         let mut lost = None;
+        let mut pause = RETRY_PAUSE;
         loop {
             let asked = self.knowledge.clock.now();
             let result = match revision {
@@ -225,10 +228,12 @@
                     counter!("chestnutstage_store_failures_total").increment(1);
                     if lost.is_none() {
                         warn!(topic:% = self.topic; "store out of reach: {e}");
-                        lost = Some(asked);
+                        lost = Some(self.knowledge.clock.now());
+                        pause = RETRY_PAUSE;
                     }
-                    let pause = RETRY_PAUSE.mul_f64(rand::rng().random_range(0.7..1.6));
-                    sleep(pause).await;
+                    let spread = rand::rng().random_range(0.7..1.4);
+                    sleep(pause.mul_f64(spread)).await;
+                    pause = (pause * 3 / 2).min(RETRY_PAUSE_MAX);
                 }
             }
         }
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -27,12 +27,12 @@
 /// Longest pauses on time after which a silent stream is taken to another endpoint.
 const SILENT_GAPS: u32 = 3;
 /// Shortest silence that counts as a failure.
-const SILENT_MIN: Duration = Duration::from_millis(1_600);
+const SILENT_MIN: Duration = Duration::from_secs(1);
 /// Targets without a first event after which another endpoint is tried.
 const SILENT_FIRST: f64 = 2.0;
 
 /// Silences after which another endpoint is tried although this one still reports its load.
-const SILENCES: u32 = 2;
+const SILENCES: u32 = 1;
 
 /// A stream of events on its way to a caller.
 struct Passage {
@@ -171,14 +171,14 @@
         let exchange = &self.exchange;
         if exchange.route.repeat != Repeat::Resumable
             || exchange.runs >= exchange.route.attempts
-            || self.silences >= SILENCES
+            || self.silences > SILENCES
         {
             return exchange.deadline;
         }
         let target = exchange.route.target;
         let patience = match &self.upstream {
             Some(upstream) if !self.begun => {
-                target.first.max(upstream.expected).mul_f64(SILENT_FIRST) + SILENT_MIN
+                (target.first.max(upstream.expected).mul_f64(SILENT_FIRST)).max(SILENT_MIN)
             }
             _ => (target.gap * SILENT_GAPS).max(SILENT_MIN),
         };
--- a/chestnutstage_gateway/tests/routed_calls.rs
+++ b/chestnutstage_gateway/tests/routed_calls.rs
@@ -125,3 +125,16 @@
     stage.book.tell(Topic::Operators, vec![Fact::Catalog(Box::new(next))]);
     while stage.status(Method::GET, "/look/x").await != StatusCode::UNAUTHORIZED {}
 }
+
+#[tokio::test]
+async fn large_answer() {
+    let body = "x".repeat(3 << 20);
+    let backend = Backend::start(vec![success(&body)]).await;
+    let stage = Stage::start(vec![listing("d1", "desk", backend.address)]).await;
+    let answer = stage.request(Method::POST, "/book/x").send().await.unwrap();
+    assert_eq!(
+        answer.text().await.unwrap().len(),
+        body.len(),
+        "a finished answer is delivered, whatever its size"
+    );
+}
--- a/chestnutstage_gateway/tests/true_refusals.rs
+++ b/chestnutstage_gateway/tests/true_refusals.rs
@@ -107,3 +107,26 @@
         );
     }
 }
+
+#[tokio::test]
+async fn finished_answer_kept() {
+    let error = Reply::Bytes(answer("500 Broken", "x-seal: s\r\n", "no"));
+    let backend = Backend::start(vec![error]).await;
+    let stage = Stage::start(vec![listing("d1", "desk", backend.address)]).await;
+    let answer = stage.request(Method::GET, "/look/x").send().await.unwrap();
+    assert_eq!(
+        answer.status(),
+        StatusCode::INTERNAL_SERVER_ERROR,
+        "no other endpoint: its answer is delivered"
+    );
+    assert_eq!(answer.headers()["x-seal"], "s");
+    assert_eq!(answer.text().await.unwrap(), "no");
+}
+
+#[tokio::test]
+async fn unknown_then_refused() {
+    let backend = Backend::start(vec![Reply::Cut(String::new())]).await;
+    let stage = Stage::start(vec![listing("d1", "desk", backend.address)]).await;
+    let status = stage.status(Method::GET, "/look/x").await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY, "it may have run: a refusal would not be true");
+}
