--- a/chestnutstage_gateway/src/knowledge.rs
+++ b/chestnutstage_gateway/src/knowledge.rs
@@ -29,6 +29,8 @@
 
 /// Longest wait of a call for changes; its answer also proves that the knowledge is fresh.
 const FOLLOW_WAIT: Duration = Duration::from_secs(2);
+/// Longest wait of a call while the store is out of reach.
+const REGAIN_WAIT: Duration = Duration::from_millis(20);
 /// Longest wait for changes of the instances, which peers notice by themselves.
 const MEMBERS_WAIT: Duration = Duration::from_secs(20);
 /// Pause after a first failed call; grows by half with each one that follows.
@@ -211,7 +213,7 @@
             let asked = self.knowledge.clock.now();
             let result = match revision {
                 None => self.registry.read(self.topic).await,
-                Some(after) => self.registry.follow(self.topic, after, self.wait()).await,
+                Some(after) => self.registry.follow(self.topic, after, self.wait(lost.is_some())).await,
             };
             match result {
                 Ok(news) => {
@@ -239,8 +241,13 @@
         }
     }
 
-    fn wait(&self) -> Duration {
-        if self.topic == Topic::Members { MEMBERS_WAIT } else { FOLLOW_WAIT }
+    /// How long a call for changes waits: hardly at all while the store is lost, so that its answer tells of its return.
+    fn wait(&self, lost: bool) -> Duration {
+        match self.topic {
+            _ if lost => REGAIN_WAIT,
+            Topic::Members => MEMBERS_WAIT,
+            Topic::Operators | Topic::Endpoints => FOLLOW_WAIT,
+        }
     }
 
     fn regained(&self, lost: &mut Option<Time>) {
