Peers' confirmations count from what they answer to; longer waits among many; differing lists are read anew

Change: a state carries the time of the receiver's last message that its sender had; knowledge counts from there. Calls for changes wait longer with the number of peers (2 s up to 9 instances, 12 s at most); an endpoint list that differs from the peers' for 0.7 s is followed anew, in case the call hangs on a silent connection.

--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -228,6 +228,12 @@
         self.sites.values().map(|s| &s.listing.id)
     }
 
+    /// Hash of all listed endpoints and of whether they leave; equal lists have equal hashes.
+    pub fn listings_hash(&self) -> u64 {
+        let sites = self.sites.iter();
+        sites.fold(0, |hash, (key, s)| hash ^ key.0.rotate_left(u32::from(s.listing.leaving)))
+    }
+
     /// Name, address and zone of a life of an endpoint.
     pub fn listing(&self, key: Key) -> Option<&Listing> {
         self.sites.get(&key).map(|s| &s.listing)
--- a/chestnutstage_gateway/src/knowledge.rs
+++ b/chestnutstage_gateway/src/knowledge.rs
@@ -6,7 +6,7 @@
 //! Versions of the catalog only rise.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -29,6 +29,12 @@
 
 /// Longest wait of a call for changes; its answer also proves that the knowledge is fresh.
 const FOLLOW_WAIT: Duration = Duration::from_secs(2);
+/// Instances among which that wait holds; it grows with their number.
+const FOLLOW_PEERS: f64 = 9.0;
+/// Longest of these waits.
+const FOLLOW_WAIT_MAX: Duration = Duration::from_secs(12);
+/// Time for which a peer's endpoints may differ from the own ones: news reach all within a few round trips.
+const DIFFERENCE: Duration = Duration::from_millis(700);
 /// Longest wait of a call while the store is out of reach.
 const REGAIN_WAIT: Duration = Duration::from_millis(20);
 /// Longest wait for changes of the instances, which peers notice by themselves.
@@ -48,6 +54,8 @@
     zones_out: BTreeSet<ZoneId>,
     members: BTreeMap<InstanceId, Member>,
     outage_until: Time,
+    /// Since when a peer's endpoints differ from the own ones.
+    differs: Option<Time>,
 }
 
 /// What this instance knows from the store.
@@ -57,6 +65,9 @@
     directory: ArcSwapOption<Directory>,
     state: Mutex<State>,
     listed: AtomicBool,
+    peers: AtomicUsize,
+    listings: AtomicU64,
+    doubted: Notify,
     pub(crate) members_changed: Notify,
 }
 
@@ -67,6 +78,9 @@
             directory: ArcSwapOption::empty(),
             state: Mutex::default(),
             listed: AtomicBool::new(false),
+            peers: AtomicUsize::new(0),
+            listings: AtomicU64::new(0),
+            doubted: Notify::new(),
             members_changed: Notify::new(),
         }
     }
@@ -98,10 +112,37 @@
         Some(xxh3_64_with_seed(zones.as_bytes(), version))
     }
 
-    /// Takes that a peer knew rules with the same hash as the newest ones, `age` before now.
-    pub(crate) fn confirm(&self, content: u64, age: Duration) {
+    /// Takes that a peer knew rules with the same hash as the newest ones at `known`.
+    pub(crate) fn confirm(&self, content: u64, known: Time) {
         if self.content() == Some(content) {
-            self.mark(self.clock.now() - age);
+            self.mark(known);
+        }
+    }
+
+    /// Takes the number of linked peers.
+    pub(crate) fn set_peers(&self, count: usize) {
+        self.peers.store(count, Ordering::Relaxed);
+    }
+
+    /// Takes the hash of the endpoints that are listed here.
+    pub(crate) fn set_listings(&self, hash: u64) {
+        self.listings.store(hash, Ordering::Relaxed);
+    }
+
+    /// Compares the hash of a peer's endpoints with that of the own ones. If they differ for long, the own call for changes may
+    /// hang on a silent connection; it is made anew.
+    pub(crate) fn compare(&self, theirs: u64) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if theirs == self.listings.load(Ordering::Relaxed) {
+            state.differs = None;
+            return;
+        }
+        let since = *state.differs.get_or_insert(now);
+        if now.since(since) > DIFFERENCE {
+            info!("a peer knows other endpoints; the call for changes is made anew");
+            state.differs = Some(now);
+            self.doubted.notify_one();
         }
     }
 
@@ -112,8 +153,9 @@
     }
 
     /// Takes rules of a peer if they are fresher; gives the catalog that is then in force.
-    pub(crate) fn take_peer(&self, rules: PeerRules) -> Option<Arc<Directory>> {
-        if rules.age >= self.rules_age() {
+    pub(crate) fn take_peer(&self, rules: PeerRules, asked: Time) -> Option<Arc<Directory>> {
+        let known = asked - rules.age;
+        if Some(known) <= self.lock().known {
             return None;
         }
         let directory = Directory::from(rules.catalog);
@@ -123,7 +165,7 @@
         info!(version = directory.catalog().version, age:? = rules.age; "rules of a peer");
         self.take_catalog(directory);
         self.lock().zones_out = rules.zones_out.into_iter().collect();
-        self.mark(self.clock.now() - rules.age);
+        self.mark(known);
         self.directory()
     }
 
@@ -132,6 +174,12 @@
         self.lock().zones_out.iter().cloned().collect()
     }
 
+    /// How long a call for changes waits. Among many, each waits longer: their answers, told to all, prove freshness for all.
+    fn follow_wait(&self) -> Duration {
+        let factor = (self.peers.load(Ordering::Relaxed) + 1) as f64 / FOLLOW_PEERS;
+        FOLLOW_WAIT.mul_f64(factor.max(1.0)).min(FOLLOW_WAIT_MAX)
+    }
+
     /// The other instances.
     pub(crate) fn members(&self) -> Vec<Member> {
         self.lock().members.values().cloned().collect()
@@ -213,7 +261,10 @@
             let asked = self.knowledge.clock.now();
             let result = match revision {
                 None => self.registry.read(self.topic).await,
-                Some(after) => self.registry.follow(self.topic, after, self.wait(lost.is_some())).await,
+                Some(after) => tokio::select! {
+                    result = self.registry.follow(self.topic, after, self.wait(lost.is_some())) => result,
+                    () = self.knowledge.doubted.notified(), if self.topic == Topic::Endpoints => continue,
+                },
             };
             match result {
                 Ok(news) => {
@@ -246,7 +297,7 @@
         match self.topic {
             _ if lost => REGAIN_WAIT,
             Topic::Members => MEMBERS_WAIT,
-            Topic::Operators | Topic::Endpoints => FOLLOW_WAIT,
+            Topic::Operators | Topic::Endpoints => self.knowledge.follow_wait(),
         }
     }
 
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -28,7 +28,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use crate::dispatcher::{Heard, PeerLeft, Tell};
+use crate::dispatcher::{Heard, ListingsHash, PeerLeft, Tell};
 use crate::outside::Member;
 use crate::shared::Shared;
 
@@ -85,6 +85,8 @@
     sent: Time,
     snapshot: Snapshot,
     rules: Option<RulesMark>,
+    /// Hash of the endpoints that are listed there.
+    listings: u64,
     leaving: bool,
 }
 
@@ -107,6 +109,8 @@
     connection: Connection,
     life: u64,
     sequence: u64,
+    /// When the peer sent the last state that came, by its clock.
+    sent: Time,
 }
 
 /// Links to the other instances.
@@ -287,10 +291,10 @@
                 },
             };
             match message {
-                Ok(bytes) => match postcard::from_bytes::<State>(&bytes) {
-                    Ok(state) => {
+                Ok(bytes) => match decode(&bytes) {
+                    Ok((echo, state)) => {
                         let first = peer.replace(state.id.clone()).is_none();
-                        self.take(state, &connection, first).await;
+                        self.take(echo, state, &connection, first).await;
                     }
                     Err(e) => warn!("a peer's message can't be read: {e}"),
                 },
@@ -311,14 +315,19 @@
         }
     }
 
-    async fn take(self: &Arc<Self>, state: State, connection: &Connection, first: bool) {
+    async fn take(self: &Arc<Self>, echo: Option<Time>, state: State, connection: &Connection, first: bool) {
         {
             let mut open = self.lock();
             let known = open.get(&state.id).map(|p| (p.life, p.sequence));
             if known.is_some_and(|(life, sequence)| life == state.life && sequence >= state.sequence) {
                 return;
             }
-            let peer = Peer { connection: connection.clone(), life: state.life, sequence: state.sequence };
+            let peer = Peer {
+                connection: connection.clone(),
+                life: state.life,
+                sequence: state.sequence,
+                sent: state.sent,
+            };
             open.insert(state.id.clone(), peer);
             gauge!("chestnutstage_peers_linked").set(open.len() as f64);
         }
@@ -326,10 +335,12 @@
             info!(peer:% = state.id; "link open");
             self.send_state(connection).await;
         }
-        if let Some(rules) = state.rules {
-            self.shared.knowledge.confirm(rules.content, rules.age);
+        if let (Some(rules), Some(echo)) = (state.rules, echo) {
+            // The peer wrote this after it had what was sent from here at `echo`, however long the message took.
+            self.shared.knowledge.confirm(rules.content, echo - rules.age);
             self.consider(rules, connection);
         }
+        self.shared.knowledge.compare(state.listings);
         let sent = if state.leaving {
             self.shared.dispatcher.tell(PeerLeft(state.id)).await.is_ok()
         } else {
@@ -354,8 +365,9 @@
         }
         let (peers, connection) = (self.clone(), connection.clone());
         tokio::spawn(async move {
+            let asked = peers.shared.clock.now();
             match timeout(ASK_LIMIT, ask_rules(&connection)).await {
-                Ok(Ok(rules)) => peers.shared.take_peer_rules(rules).await,
+                Ok(Ok(rules)) => peers.shared.take_peer_rules(rules, asked).await,
                 Ok(Err(e)) => info!("a peer did not give its rules: {e}"),
                 Err(_) => info!("a peer did not give its rules in time"),
             }
@@ -380,6 +392,8 @@
         let snapshot = self.shared.dispatcher.ask(Tell).await.ok()??;
         let knowledge = &self.shared.knowledge;
         let rules = knowledge.content().map(|content| RulesMark { content, age: knowledge.rules_age() });
+        let listings = self.shared.dispatcher.ask(ListingsHash).await.ok()?;
+        knowledge.set_listings(listings);
         let now = self.shared.clock.now();
         let state = State {
             id: self.me().clone(),
@@ -388,6 +402,7 @@
             sent: now,
             snapshot,
             rules,
+            listings,
             leaving: self.shared.is_draining() && self.shared.is_idle(),
         };
         match postcard::to_stdvec(&state) {
@@ -401,21 +416,33 @@
 
     async fn send_state(&self, connection: &Connection) {
         if let Some(message) = self.state().await {
-            send(connection, message);
+            send(connection, self.echo(connection), &message);
         }
     }
 
+    /// When the peer at the other end sent the last state that came.
+    fn echo(&self, connection: &Connection) -> Option<Time> {
+        let open = self.lock();
+        open.values().find(|p| p.connection.stable_id() == connection.stable_id()).map(|p| p.sent)
+    }
+
+    /// All connections, each with when its peer sent the last state that came.
+    fn connections(&self) -> Vec<(Connection, Time)> {
+        self.lock().values().map(|p| (p.connection.clone(), p.sent)).collect()
+    }
+
     /// Tells all peers the state: at intervals, and at once when something was granted. Runs for ever.
     pub(crate) async fn tell(self: Arc<Self>, granted: Arc<Notify>) {
         loop {
-            let connections: Vec<Connection> = self.lock().values().map(|p| p.connection.clone()).collect();
+            let connections = self.connections();
+            self.shared.knowledge.set_peers(connections.len());
             let factor = connections.len().div_ceil(TELL_PEERS).max(1) as u32;
             if !connections.is_empty()
                 && let Some(message) = self.state().await
             {
                 counter!("chestnutstage_states_sent_total").increment(connections.len() as u64);
-                for connection in &connections {
-                    send(connection, message.clone());
+                for (connection, echo) in &connections {
+                    send(connection, Some(*echo), &message);
                 }
             }
             tokio::select! {
@@ -427,18 +454,27 @@
 
     /// Tells all peers that this instance leaves, and closes the links.
     pub(crate) async fn leave(&self) {
-        let connections: Vec<Connection> = self.lock().values().map(|p| p.connection.clone()).collect();
         if let Some(message) = self.state().await {
-            for connection in connections {
-                send(&connection, message.clone());
+            for (connection, echo) in self.connections() {
+                send(&connection, Some(echo), &message);
             }
         }
         self.endpoint.close(0_u32.into(), b"leaving");
     }
 }
 
-/// Sends a message as a datagram if it fits into one, else on a stream.
-fn send(connection: &Connection, message: Bytes) {
+/// A message: when the receiver sent what the sender had last, then the sender's state.
+fn decode(bytes: &[u8]) -> postcard::Result<(Option<Time>, State)> {
+    let (echo, rest) = postcard::take_from_bytes(bytes)?;
+    Ok((echo, postcard::from_bytes(rest)?))
+}
+
+/// Sends a state as a datagram if it fits into one, else on a stream.
+fn send(connection: &Connection, echo: Option<Time>, state: &[u8]) {
+    let message = match postcard::to_stdvec(&echo) {
+        Ok(head) => Bytes::from([&head, state].concat()),
+        Err(e) => return warn!("a message can't be encoded: {e}"),
+    };
     if connection.max_datagram_size().is_some_and(|size| message.len() <= size) {
         if let Err(e) = connection.send_datagram(message) {
             debug!("a message to a peer was not sent: {e}");
--- a/chestnutstage_gateway/src/shared.rs
+++ b/chestnutstage_gateway/src/shared.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chestnutstage_core::budget::RetryBudget;
+use chestnutstage_core::time::Time;
 use kameo::actor::ActorRef;
 use log::warn;
 
@@ -63,9 +64,9 @@
         self.running.load(Ordering::Relaxed) == 0
     }
 
-    /// Takes the operators' rules from a peer that knew them later than this instance.
-    pub(crate) async fn take_peer_rules(&self, rules: PeerRules) {
-        let Some(directory) = self.knowledge.take_peer(rules) else { return };
+    /// Takes the operators' rules from a peer that was asked for them at `asked`, if it knew them later.
+    pub(crate) async fn take_peer_rules(&self, rules: PeerRules, asked: Time) {
+        let Some(directory) = self.knowledge.take_peer(rules, asked) else { return };
         let zones_out = self.knowledge.zones_out();
         if self.dispatcher.tell(Rules { directory, zones_out }).await.is_err() {
             warn!("the dispatcher is gone; a peer's rules are not in force");
--- a/chestnutstage_gateway/tests/common/outside.rs
+++ b/chestnutstage_gateway/tests/common/outside.rs
@@ -37,6 +37,16 @@
         self.changed.notify_waiters();
     }
 
+    /// What was told of a topic.
+    pub fn told(&self, topic: Topic) -> Vec<Fact> {
+        self.after(topic, 0).facts
+    }
+
+    /// Keeps the secret that another store keeps.
+    pub fn share_secret(&self, other: &Self) {
+        *self.secret.lock().unwrap() = other.secret.lock().unwrap().clone();
+    }
+
     /// Drops the history: the next call for changes has to read everything again.
     pub fn forget(&self) {
         self.forgets.store(true, Ordering::SeqCst);
--- a/chestnutstage_gateway/tests/instances.rs
+++ b/chestnutstage_gateway/tests/instances.rs
@@ -92,3 +92,33 @@
     assert_eq!(stage.status(Method::GET, "/look/x").await, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(backend.seen().len(), sent, "nothing more reaches it");
 }
+
+/// An instance that the store turns away goes on with what a peer knows, newer rules included.
+#[tokio::test]
+async fn fresh_by_peer() {
+    let backend = Backend::start(vec![success("done")]).await;
+    let (near, far) = (book(&backend), book(&backend));
+    let one = Stage::with_book("i1", near.clone()).await;
+    one.until_ready().await;
+    while near.told(Topic::Members).is_empty() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    far.share_secret(&near);
+    let two = Stage::with_book("i2", far.clone()).await;
+    two.until_ready().await;
+    while far.told(Topic::Members).is_empty() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    near.tell(Topic::Members, far.told(Topic::Members));
+    far.down.store(true, Ordering::SeqCst);
+    let mut next = catalog(2);
+    next.routes.retain(|r| r.name != "book");
+    near.tell(Topic::Operators, vec![Fact::Catalog(Box::new(next))]);
+    while two.status(Method::POST, "/book/x").await != StatusCode::NOT_FOUND {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // Longer than what it knew from its own store holds.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    assert_eq!(two.status(Method::GET, "/look/x").await, StatusCode::OK);
+    assert!(two.ready().await);
+}
