--- a/chestnutstage_gateway/tests/common/outside.rs
+++ b/chestnutstage_gateway/tests/common/outside.rs
@@ -44,7 +44,8 @@
 
     /// Keeps the secret that another store keeps.
     pub fn share_secret(&self, other: &Self) {
-        *self.secret.lock().unwrap() = other.secret.lock().unwrap().clone();
+        let secret = other.secret.lock().unwrap().clone();
+        *self.secret.lock().unwrap() = secret;
     }
 
     /// Drops the history: the next call for changes has to read everything again.
