--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod front;
 mod gateway;
 mod headers;
+mod identity;
 mod knowledge;
 pub mod logging;
 pub mod outside;
@@ -32,5 +33,5 @@
 mod watch;
 
 pub use gateway::{Bound, Gateway, StartError};
-pub use peers::LinkError;
+pub use identity::LinkError;
 pub use shared::Adapters;
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -2,8 +2,7 @@
 //!
 //! Every instance tells all others its grants: at once when it grants something, else at intervals. A message holds
 //! everything, so that the loss of one is healed by the next. Messages travel as datagrams over one QUIC connection per
-//! pair, opened by the instance whose name is lower; larger ones take a stream of their own. All instances of a deployment
-//! share one certificate, which the store keeps.
+//! pair, opened by the instance whose name is lower; larger ones take a stream of their own.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -17,27 +16,16 @@
 use chestnutstage_core::time::Time;
 use log::{debug, info, warn};
 use metrics::{counter, gauge};
-use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt};
-use rustls::RootCertStore;
-use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
-use rustls::server::WebPkiClientVerifier;
+use quinn::{Connection, Endpoint};
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::dispatcher::{Heard, ListingsHash, PeerLeft, Tell};
+use crate::identity::{LinkError, NAME, configs};
 use crate::outside::Member;
 use crate::shared::Shared;
 
-/// Name that the shared certificate is made out to.
-const NAME: &str = "chestnutstage";
-/// Protocol name in the handshake.
-const ALPN: &[u8] = b"chestnutstage-gateway/1";
-/// Silence after which a connection is dead.
-const IDLE_LIMIT_MS: u32 = 2_500;
 /// Time limit for a connection to open: a peer that starts at the same time may have no port yet, and the transport
 /// repeats its first packet only after a second.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
@@ -60,22 +48,6 @@
 /// Advantage in age that makes a peer worth asking.
 const ASK_GAIN: Duration = Duration::from_millis(500);
 
-/// Why links can't be set up.
-#[derive(Debug, Error)]
-pub enum LinkError {
-    /// The certificate can't be made or read.
-    #[error("certificate: {0}")]
-    Certificate(String),
-    /// The port can't be bound.
-    #[error("bind of {address}: {source}")]
-    Bind {
-        /// The address.
-        address: SocketAddr,
-        /// Why.
-        source: std::io::Error,
-    },
-}
-
 /// What an instance tells the others.
 #[derive(Debug, Serialize, Deserialize)]
 struct State {
@@ -122,58 +94,6 @@
     asking: Mutex<bool>,
 }
 
-/// A fresh certificate with its key, as one PEM text.
-///
-/// # Errors
-///
-/// [`LinkError::Certificate`] if the key can't be made.
-pub(crate) fn fresh_identity() -> Result<String, LinkError> {
-    let made = rcgen::generate_simple_self_signed(vec![NAME.to_owned()]);
-    let made = made.map_err(|e| LinkError::Certificate(e.to_string()))?;
-    Ok(format!("{}{}", made.cert.pem(), made.signing_key.serialize_pem()))
-}
-
-fn transport() -> Arc<TransportConfig> {
-    let mut transport = TransportConfig::default();
-    transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_LIMIT_MS))));
-    transport.datagram_receive_buffer_size(Some(MESSAGE_MAX));
-    Arc::new(transport)
-}
-
-fn configs(identity: &str) -> Result<(ServerConfig, ClientConfig), LinkError> {
-    let failed = |e: &dyn std::fmt::Display| LinkError::Certificate(e.to_string());
-    let certificate = CertificateDer::from_pem_slice(identity.as_bytes()).map_err(|e| failed(&e))?;
-    let key = PrivateKeyDer::from_pem_slice(identity.as_bytes()).map_err(|e| failed(&e))?;
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let mut roots = RootCertStore::empty();
-    roots.add(certificate.clone()).map_err(|e| failed(&e))?;
-    let roots = Arc::new(roots);
-    let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone())
-        .build()
-        .map_err(|e| failed(&e))?;
-    let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
-        .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(|e| failed(&e))?
-        .with_client_cert_verifier(verifier)
-        .with_single_cert(vec![certificate.clone()], key.clone_key())
-        .map_err(|e| failed(&e))?;
-    server.alpn_protocols = vec![ALPN.to_vec()];
-    let mut client = rustls::ClientConfig::builder_with_provider(provider)
-        .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(|e| failed(&e))?
-        .with_root_certificates(roots)
-        .with_client_auth_cert(vec![certificate], key)
-        .map_err(|e| failed(&e))?;
-    client.alpn_protocols = vec![ALPN.to_vec()];
-    let server = QuicServerConfig::try_from(server).map_err(|e| failed(&e))?;
-    let client = QuicClientConfig::try_from(client).map_err(|e| failed(&e))?;
-    let mut server = ServerConfig::with_crypto(Arc::new(server));
-    let mut client = ClientConfig::new(Arc::new(client));
-    server.transport_config(transport());
-    client.transport_config(transport());
-    Ok((server, client))
-}
-
 impl Peers {
     /// Opens the port for the other instances.
     ///
