--- a/chestnutstage/benches/service/fleet.rs
+++ b/chestnutstage/benches/service/fleet.rs
@@ -12,7 +12,7 @@
 use chestnutstage::engine::{EngineSet, ServiceSet};
 use chestnutstage::link::message::{EntryWord, Reply, Request, Target};
 use chestnutstage::link::{Conversation, Handler, LinkError, PeerLink, Step};
-use chestnutstage::platform::{Listed, Listing};
+use chestnutstage::store::{Listed, Listing};
 use chestnutstage::{Adapters, Unwired};
 use chestnutstage_config::fleet::Change;
 use chestnutstage_config::settings::Settings;
@@ -28,7 +28,7 @@
 use tower::ServiceExt;
 
 use crate::engines::{EnginePark, ZoneEngines};
-use crate::platform::MemoryPlatform;
+use crate::store::MemoryPlatform;
 
 /// Size and distances of a deployment.
 #[derive(Debug, Clone, Copy)]
--- a/chestnutstage/benches/service/platform.rs
+++ b/chestnutstage/benches/service/platform.rs
@@ -4,9 +4,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use chestnutstage::platform::{
-    InstanceList, Listing, ObjectStore, Row, StoreError, TableStore, Write, Written,
-};
+use chestnutstage::store::{InstanceList, Listing, ObjectStore, Row, StoreError, TableStore, Write, Written};
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use serde_json::Value;
--- a/chestnutstage/src/actor/committer.rs
+++ b/chestnutstage/src/actor/committer.rs
@@ -12,8 +12,8 @@
 use thiserror::Error;
 
 use crate::link::message::{Reply, Request};
-use crate::platform::{Effect, Row, StoreError, Write, Written};
 use crate::shared::{Shared, lock};
+use crate::store::{Effect, Row, StoreError, Write, Written};
 
 /// Table that holds the log.
 const TABLE: &str = "config";
--- a/chestnutstage/src/actor/ledger.rs
+++ b/chestnutstage/src/actor/ledger.rs
@@ -12,8 +12,8 @@
 use serde_json::Value;
 use tokio::sync::oneshot;
 
-use crate::platform::{StoreError, Write, Written};
 use crate::shared::Shared;
+use crate::store::{StoreError, Write, Written};
 
 /// Table that holds the claims.
 pub(crate) const TABLE: &str = "claims";
--- a/chestnutstage/src/call.rs
+++ b/chestnutstage/src/call.rs
@@ -21,8 +21,8 @@
 use crate::entry::{Entry, Job};
 use crate::failure::{Failure, Stage};
 use crate::link::message::EntryWord;
-use crate::platform::{Effect, Row, Write, Written};
 use crate::shared::{Serving, lock};
+use crate::store::{Effect, Row, Write, Written};
 
 /// Time a call needs at least to be worth sending.
 const SEND_MIN: Duration = Duration::from_millis(5);
--- a/chestnutstage/src/instance.rs
+++ b/chestnutstage/src/instance.rs
@@ -44,8 +44,8 @@
 use crate::operator::{self, Operators};
 use crate::owners::Owners;
 use crate::peers::Peers;
-use crate::platform::HttpPlatform;
 use crate::shared::{Adapters, Shared, lock};
+use crate::store::HttpPlatform;
 use crate::view;
 
 /// Interval of the state machines' ticks.
--- a/chestnutstage/src/lib.rs
+++ b/chestnutstage/src/lib.rs
@@ -1,6 +1,6 @@
 //! The daemon of chestnutstage, as a library that its binary, its tests and its benches share.
 //!
-//! [`Instance`] is a whole instance. The borders to everything outside, [`platform`], [`engine`] and [`link`], are traits;
+//! [`Instance`] is a whole instance. The borders to everything outside, [`store`], [`engine`] and [`link`], are traits;
 //! an [`Unwired`] instance takes whatever [`Adapters`] it is given.
 //!
 //! The path of a request reads: `caller` (HTTP) → `completion` or `call` (the run) → `entry` (a seat) → `owners` and
@@ -28,9 +28,9 @@
 mod operator;
 mod owners;
 mod peers;
-pub mod platform;
 mod shared;
 mod spread;
+pub mod store;
 mod view;
 
 pub use config::Snapshot;
--- a/chestnutstage/src/shared.rs
+++ b/chestnutstage/src/shared.rs
@@ -23,7 +23,7 @@
 use crate::journal::Journal;
 use crate::link::Links;
 use crate::link::message::Target;
-use crate::platform::{Instances, Listing, Objects, Tables};
+use crate::store::{Instances, Listing, Objects, Tables};
 
 /// When a caller is told to come back to a cut-off or leaving instance.
 const RETRY_SOON: std::time::Duration = std::time::Duration::from_secs(1);
--- a/chestnutstage/src/view.rs
+++ b/chestnutstage/src/view.rs
@@ -12,8 +12,8 @@
 use crate::actor::members::{MembersActor, Owns};
 use crate::actor::owner::{OwnerActor, View};
 use crate::config::Snapshot;
-use crate::platform::Listing;
 use crate::shared::{Roster, Shared, lock};
+use crate::store::Listing;
 
 /// Keeps the owner and the router up to date with what they rest on.
 pub(crate) async fn follow(
