--- a/chestnutstage/benches/service/fleet.rs
+++ b/chestnutstage/benches/service/fleet.rs
@@ -28,7 +28,7 @@
 use tower::ServiceExt;
 
 use crate::engines::{EnginePark, ZoneEngines};
-use crate::store::MemoryPlatform;
+use crate::platform::MemoryPlatform;
 
 /// Size and distances of a deployment.
 #[derive(Debug, Clone, Copy)]
