Shared retries are divided by the instances that are known

Cause: each instance took a ninth of the shared retries, so that 65 instances could have made seven times as many as the deployment allows. Test: shared_budget with 1, 7, 9 and 65 instances.

--- a/chestnutstage_core/src/budget.rs
+++ b/chestnutstage_core/src/budget.rs
@@ -39,6 +39,12 @@
         Self { saved, saved_max: saved, earned, rng: SmallRng::seed_from_u64(seed) }
     }
 
+    /// Changes how many retries may be saved up; what is saved beyond that is dropped.
+    pub fn set_most(&mut self, saved: f64) {
+        self.saved_max = (saved * PRICE as f64) as u64;
+        self.saved = self.saved.min(self.saved_max);
+    }
+
     /// Takes in a first attempt.
     pub fn earn(&mut self) {
         self.saved = (self.saved + self.earned).min(self.saved_max);
--- a/chestnutstage_core/tests/limits.rs
+++ b/chestnutstage_core/tests/limits.rs
@@ -198,3 +198,22 @@
     }
     assert!(counts.values().all(|c| (60..140).contains(c)), "{counts:?}");
 }
+
+/// However many instances share a budget, their retries stay within ratio and extra.
+#[test]
+fn shared_budget() {
+    let (ratio, extra, first_attempts) = (0.2, 106.0, 300);
+    for instances in [1, 7, 9, 65] {
+        let mut retries = 0;
+        for seed in 0..instances {
+            let mut budget = RetryBudget::limited(seed, ratio, 20.0);
+            budget.set_most(extra / instances as f64);
+            for _ in 0..first_attempts {
+                budget.earn();
+                retries += u64::from(budget.retry(0).is_some());
+            }
+        }
+        let allowed = ratio * (instances * first_attempts) as f64 + extra;
+        assert!(retries as f64 <= allowed, "{retries} of {allowed} from {instances} instances");
+    }
+}
