Waits for changes stay at 2 s; retries shared at each use; brief engines by part of their slots

The share is now taken at each use, from sixteen instances until the members are known. Engines with 12 slots held up to 14 brief requests: the numbers are now parts of the slots.

--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -16,12 +16,12 @@
 use crate::engine::Costs;
 use crate::time::Time;
 
-/// Brief requests on an engine at which their pauses stay short.
-const BRIEFS_LIKED: u32 = 10;
+/// Part of an engine's slots with brief requests at which their pauses stay short.
+const BRIEFS_LIKED: f64 = 0.625;
 /// Passes that a brief prompt's read may last.
 const BRIEF_PASSES: f64 = 3.2;
-/// Brief requests on an engine that still meet their targets.
-const BRIEFS_DENSE: u32 = 14;
+/// Part of an engine's slots with brief requests that still meet their targets.
+const BRIEFS_DENSE: f64 = 0.875;
 /// Reads that bulk work may have ahead for each of its engines, in milliseconds.
 const BULK_READS_LIKED: f64 = 250.0;
 /// Reads ahead of each bulk engine at which all its time counts as used, in milliseconds.
@@ -32,6 +32,8 @@
 const SPARED: f64 = 0.55;
 /// Part of such a request's worth by which it may fall short.
 const SPARED_LOSS: f64 = 0.6;
+/// Longest wait for the first event of such a request, in targets.
+const LONG_WAIT: f64 = 1.8;
 /// Part of the remaining time that the first event may take.
 const REMAINING_USED: f64 = 0.7;
 /// Slots of an engine that stay free for requests that other instances are placing at the same moment.
@@ -76,8 +78,7 @@
 const STRAGGLE_IDLE: f64 = 0.4;
 /// Share of an engine's memory that is planned; the rest covers output beyond the estimate.
 const MEMORY_USED: f64 = 0.96;
-/// Longest wait for the first event of such requests, in targets.
-const LONG_WAIT: f64 = 1.8;
+
 /// An engine that may take a part of the request.
 struct Candidate<'a> {
     key: Key,
@@ -115,6 +116,7 @@
         xxh3_64_with_seed(&key.0.to_le_bytes(), self.seed) as f64 / u64::MAX as f64
     }
 
+    /// Places a prompt on one or more engines.
     pub(super) fn place_prompt(
         &self,
         now: Time,
@@ -137,7 +139,7 @@
         }
         let work = work_of(costs, demand);
         let unseen = self.unseen();
-        let brief_width = brief_width(&open, unseen);
+        let brief_width = brief_width(costs, &open, unseen);
         let engines = Engines { costs, open, brief_width, unseen };
         match work {
             Work::Bulk => engines.place_bulk(now, demand),
@@ -148,7 +150,7 @@
 
 /// Kind of a prompt: bulk if reading it alone would stall the writers of a pass.
 fn work_of(costs: &Costs, demand: &Demand<'_>) -> Work {
-    let pass = costs.pass(BRIEFS_LIKED, 0);
+    let pass = costs.pass(part_of_slots(costs, BRIEFS_LIKED), 0);
     let alone = costs.read(demand.tokens, 1);
     let stalls = alone + pass > millis(demand.gap).max(2.0 * pass);
     if stalls || alone > BRIEF_PASSES * pass { Work::Bulk } else { Work::Brief }
@@ -156,14 +158,14 @@
 
 /// Engines that are meant for brief work, counted from the start of the order: as many as it likes while bulk work leaves
 /// them, and no fewer than it needs. Instances whose grants are not known have `unseen` times as many as the others.
-fn brief_width(open: &[Candidate<'_>], unseen: f64) -> usize {
+fn brief_width(costs: &Costs, open: &[Candidate<'_>], unseen: f64) -> usize {
     let known: u32 = open.iter().map(|c| c.load.briefs).sum();
     if unseen >= BLIND {
         return open.len();
     }
     let briefs = (f64::from(known) * unseen).ceil() as u32 + 1;
-    let liked = briefs.div_ceil(BRIEFS_LIKED) as usize + 1;
-    let needed = briefs.div_ceil(BRIEFS_DENSE) as usize;
+    let liked = briefs.div_ceil(part_of_slots(costs, BRIEFS_LIKED)) as usize + 1;
+    let needed = briefs.div_ceil(part_of_slots(costs, BRIEFS_DENSE)) as usize;
     let bulk_reads: f64 = open.iter().map(|c| c.load.bulk_reads).sum();
     let floor = (open.len() * BULK_EIGHTHS).div_ceil(8);
     let bulk = ((bulk_reads / BULK_READS_LIKED).ceil() as usize).max(floor);
@@ -171,6 +173,10 @@
     open.len().saturating_sub(bulk).clamp(needed.min(most), liked.max(needed).min(most)).max(1)
 }
 
+fn part_of_slots(costs: &Costs, part: f64) -> u32 {
+    ((f64::from(costs.slots) * part) as u32).max(1)
+}
+
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1e3
 }
@@ -238,7 +244,7 @@
             .map(|c| (rate(c), c))
             .min_by(|a, b| a.0.0.total_cmp(&b.0.0));
         let Some(((_, first), c)) = best else {
-            let wait = self.costs.pass(BRIEFS_LIKED, 0) * 8.0;
+            let wait = self.costs.pass(part_of_slots(self.costs, BRIEFS_LIKED), 0) * 8.0;
             return Err(Refusal::new(Cause::NoSlot, Duration::from_secs_f64(wait / 1e3), demand.jitter));
         };
         if first > millis(demand.remaining) {
--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use chestnutstage_core::pool::{Cause, Key, Placement, Refusal};
 use http::header::CONNECTION;
 use http::response;
-use http::{HeaderValue, Request, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use kameo::error::SendError;
@@ -92,12 +92,7 @@
             Err(refusal) => return Attempt::Refused(refusal),
         };
         let granted = Granted { shared: self.shared.clone(), number: placement.number };
-        info!(
-            request = self.id, route = self.route.name, endpoint:% = placement.listing.id,
-            tokens = self.prompt.tokens, helpers = placement.helpers.len(), tickets = placement.reserve > 0,
-            parts = format!("{:?}", placement.ranks),
-            expected_ms = placement.expected.as_millis() as u64; "placed"
-        );
+        self.log_placed(&placement);
         self.tried.push(placement.key);
         let tickets = match self.reserve(&placement).await {
             Ok(tickets) => tickets,
@@ -119,41 +114,16 @@
             return Attempt::Barred(answer(Reason::Malformed, None));
         };
         let sent = Instant::now();
-        self.sends += 1;
-        let limit = self.head_limit(sent, placement.expected);
-        let address = placement.listing.address;
-        let answered = tokio::select! {
-            answered = timeout_at(limit, channel.send(request)) => answered,
-            () = until_gone(&self.shared, address), if self.asks_engine() => {
-                self.blame(placement.key).await;
-                self.runs += 1;
-                return Attempt::Unknown(format!("{} is gone", placement.listing.id));
-            }
-        };
-        let response = match answered {
-            Ok(Ok(response)) => response,
-            Ok(Err(SendFailure::NotSent(why))) => {
-                self.sends -= 1;
-                return Attempt::NotRun(format!("{} closed the connection: {why}", placement.listing.id));
-            }
-            Ok(Err(SendFailure::Unknown(why))) => {
-                self.blame(placement.key).await;
-                self.runs += 1;
-                return Attempt::Unknown(format!("{}: {why}", placement.listing.id));
-            }
-            Err(_) => {
-                self.blame(placement.key).await;
-                self.runs += 1;
-                return Attempt::Unknown(format!("no answer of {} in time", placement.listing.id));
-            }
+        let (head, body) = match self.send(&placement, &mut channel, request, sent).await {
+            Ok(response) => response.into_parts(),
+            Err(attempt) => return attempt,
         };
-        let (head, body) = response.into_parts();
         let upstream = Upstream {
             head,
             body,
             channel,
             key: placement.key,
-            address,
+            address: placement.listing.address,
             granted,
             _tickets: tickets,
             sent,
@@ -162,6 +132,45 @@
         self.classify(upstream).await
     }
 
+    fn log_placed(&self, placement: &Placement) {
+        info!(
+            request = self.id, route = self.route.name, endpoint:% = placement.listing.id,
+            tokens = self.prompt.tokens, helpers = placement.helpers.len(), tickets = placement.reserve > 0,
+            parts = format!("{:?}", placement.ranks),
+            expected_ms = placement.expected.as_millis() as u64; "placed"
+        );
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    async fn send(
+        &mut self,
+        placement: &Placement,
+        channel: &mut Channel,
+        request: Request<Full<Bytes>>,
+        sent: Instant,
+    ) -> Result<Response<Incoming>, Attempt> {
+        let (id, address) = (&placement.listing.id, placement.listing.address);
+        let limit = self.head_limit(sent, placement.expected);
+        let failure = tokio::select! {
+            answered = timeout_at(limit, channel.send(request)) => match answered {
+                Ok(Ok(response)) => {
+                    self.sends += 1;
+                    return Ok(response);
+                }
+                Ok(Err(SendFailure::NotSent(why))) => {
+                    return Err(Attempt::NotRun(format!("{id} closed the connection: {why}")));
+                }
+                Ok(Err(SendFailure::Unknown(why))) => format!("{id}: {why}"),
+                Err(_) => format!("no answer of {id} in time"),
+            },
+            () = until_gone(&self.shared, address), if self.asks_engine() => format!("{id} is gone"),
+        };
+        self.sends += 1;
+        self.runs += 1;
+        self.blame(placement.key).await;
+        Err(Attempt::Unknown(failure))
+    }
+
     async fn place(&self) -> Result<Placement, Refusal> {
         let elapsed = self.arrived.elapsed();
         let place = Place {
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -32,6 +32,8 @@
 
 /// Endpoints to which one request is sent, those included that did not run it.
 const SENDS_MAX: u32 = 4;
+/// Endpoints on which one request is placed, those included that could not be reached or had no memory.
+const TRIES_MAX: usize = 6;
 /// Largest answer of a plain service that is read whole before it is passed on, in bytes.
 const WHOLE_MAX: usize = 1 << 20;
 
@@ -189,8 +191,8 @@
     }
 
     fn after_not_run(&mut self) -> Option<Answer> {
-        let late = Instant::now() >= self.deadline;
-        if late || self.sends >= SENDS_MAX || (self.sends > 0 && !self.shared.may_retry()) {
+        let over = Instant::now() >= self.deadline || self.tried.len() >= TRIES_MAX;
+        if over || self.sends >= SENDS_MAX || (self.sends > 0 && !self.shared.may_retry()) {
             if self.runs > 0 {
                 return Some(self.fail());
             }
--- a/chestnutstage_gateway/src/gateway.rs
+++ b/chestnutstage_gateway/src/gateway.rs
@@ -37,10 +37,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which the end of all requests is looked for.
 const IDLE_INTERVAL: Duration = Duration::from_millis(50);
-/// Part of the shared retries that is used; the rest covers instances that joined unseen.
-const RETRY_USED: f64 = 0.8;
 /// Instances among which the shared retries are divided before the others are known.
-const RETRY_SHARERS: usize = 32;
+const RETRY_SHARERS: usize = 16;
 
 /// Why an instance can't start.
 #[derive(Debug, Error)]
@@ -173,14 +171,9 @@
     }
 }
 
-/// Retries that one of `count` instances may save up.
-fn retry_share(settings: &Settings, count: usize) -> f64 {
-    settings.bounds.retry_extra * RETRY_USED / count.max(1) as f64
-}
-
 fn retry_budget(settings: &Settings) -> RetryBudget {
-    let ratio = settings.bounds.retry_ratio * RETRY_USED;
-    RetryBudget::limited(rand::random(), ratio, retry_share(settings, RETRY_SHARERS))
+    let bounds = &settings.bounds;
+    RetryBudget::limited(rand::random(), bounds.retry_ratio(), bounds.retry_share(RETRY_SHARERS))
 }
 
 fn follower(shared: &Shared, topic: Topic) -> Follower {
@@ -209,11 +202,6 @@
     loop {
         ticks.tick().await;
         shared.channels.sweep();
-        let members = shared.knowledge.members().len();
-        if members > 0 {
-            let most = retry_share(&shared.settings, members);
-            shared.budget.lock().unwrap_or_else(PoisonError::into_inner).set_most(most);
-        }
     }
 }
 
--- a/chestnutstage_gateway/src/knowledge.rs
+++ b/chestnutstage_gateway/src/knowledge.rs
@@ -1,12 +1,12 @@
 //! What this instance knows from the store, and how old that is.
 //!
 //! Each topic is read whole once and then followed. Knowledge is as old as the moment at which the last answered call was
-//! sent: the store's answers hold for some moment after it. A peer that knows the same revision at a later moment makes
+//! sent, or at which its wait for changes ended without one. A peer that knows the same revision at a later moment makes
 //! the knowledge here as fresh, so that an instance that the store turns away goes on while the others are served.
 //! Versions of the catalog only rise.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -29,10 +29,8 @@
 
 /// Longest wait of a call for changes; its answer also proves that the knowledge is fresh.
 const FOLLOW_WAIT: Duration = Duration::from_secs(2);
-/// Instances among which that wait holds; it grows with their number.
-const FOLLOW_PEERS: f64 = 9.0;
-/// Longest of these waits.
-const FOLLOW_WAIT_MAX: Duration = Duration::from_secs(12);
+/// Time after which a change is seen by calls that wait for it, at the latest.
+const CHANGE_DELAY: Duration = Duration::from_millis(1_100);
 /// Time for which a peer's endpoints may differ from the own ones: news reach all within a few round trips.
 const DIFFERENCE: Duration = Duration::from_millis(700);
 /// Longest wait of a call while the store is out of reach.
@@ -65,7 +63,6 @@
     directory: ArcSwapOption<Directory>,
     state: Mutex<State>,
     listed: AtomicBool,
-    peers: AtomicUsize,
     listings: AtomicU64,
     doubted: Notify,
     pub(crate) members_changed: Notify,
@@ -78,7 +75,6 @@
             directory: ArcSwapOption::empty(),
             state: Mutex::default(),
             listed: AtomicBool::new(false),
-            peers: AtomicUsize::new(0),
             listings: AtomicU64::new(0),
             doubted: Notify::new(),
             members_changed: Notify::new(),
@@ -119,11 +115,6 @@
         }
     }
 
-    /// Takes the number of linked peers.
-    pub(crate) fn set_peers(&self, count: usize) {
-        self.peers.store(count, Ordering::Relaxed);
-    }
-
     /// Takes the hash of the endpoints that are listed here.
     pub(crate) fn set_listings(&self, hash: u64) {
         self.listings.store(hash, Ordering::Relaxed);
@@ -174,12 +165,6 @@
         self.lock().zones_out.iter().cloned().collect()
     }
 
-    /// How long a call for changes waits. Among many, each waits longer: their answers, told to all, prove freshness for all.
-    fn follow_wait(&self) -> Duration {
-        let factor = (self.peers.load(Ordering::Relaxed) + 1) as f64 / FOLLOW_PEERS;
-        FOLLOW_WAIT.mul_f64(factor.max(1.0)).min(FOLLOW_WAIT_MAX)
-    }
-
     /// The other instances.
     pub(crate) fn members(&self) -> Vec<Member> {
         self.lock().members.values().cloned().collect()
@@ -259,10 +244,11 @@
         let mut pause = RETRY_PAUSE;
         loop {
             let asked = self.knowledge.clock.now();
+            let wait = self.wait(lost.is_some());
             let result = match revision {
                 None => self.registry.read(self.topic).await,
                 Some(after) => tokio::select! {
-                    result = self.registry.follow(self.topic, after, self.wait(lost.is_some())) => result,
+                    result = self.registry.follow(self.topic, after, wait) => result,
                     () = self.knowledge.doubted.notified(), if self.topic == Topic::Endpoints => continue,
                 },
             };
@@ -271,7 +257,8 @@
                     self.regained(&mut lost);
                     let whole = revision.is_none();
                     revision = Some(news.revision);
-                    self.take(news, whole, asked).await;
+                    let known = if whole { asked } else { self.known(&news, asked, wait) };
+                    self.take(news, whole, known).await;
                 }
                 Err(e) if e.failure == Failure::HistoryGone => {
                     warn!(topic:% = self.topic; "the store dropped its history; reading everything again");
@@ -297,10 +284,17 @@
         match self.topic {
             _ if lost => REGAIN_WAIT,
             Topic::Members => MEMBERS_WAIT,
-            Topic::Operators | Topic::Endpoints => self.knowledge.follow_wait(),
+            Topic::Operators | Topic::Endpoints => FOLLOW_WAIT,
         }
     }
 
+    /// The moment for which an answer holds. An answer without changes came only after the store had waited for them, so
+    /// that it holds for the end of the wait, but for the time that changes take to be seen.
+    fn known(&self, news: &News, asked: Time, wait: Duration) -> Time {
+        let waited = news.facts.is_empty() && self.knowledge.clock.now().since(asked) >= wait;
+        if waited { asked + wait.saturating_sub(CHANGE_DELAY) } else { asked }
+    }
+
     fn regained(&self, lost: &mut Option<Time>) {
         let Some(since) = lost.take() else { return };
         let now = self.knowledge.clock.now();
@@ -311,11 +305,11 @@
         }
     }
 
-    async fn take(&self, news: News, whole: bool, asked: Time) {
+    async fn take(&self, news: News, whole: bool, known: Time) {
         match self.topic {
             Topic::Operators => {
                 self.take_rules(&news, whole).await;
-                self.knowledge.mark(asked);
+                self.knowledge.mark(known);
             }
             Topic::Endpoints => self.take_listings(news.facts, whole).await,
             Topic::Members => {
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -355,7 +355,6 @@
     pub(crate) async fn tell(self: Arc<Self>, granted: Arc<Notify>) {
         loop {
             let connections = self.connections();
-            self.shared.knowledge.set_peers(connections.len());
             let factor = connections.len().div_ceil(TELL_PEERS).max(1) as u32;
             if !connections.is_empty()
                 && let Some(message) = self.state().await
--- a/chestnutstage_gateway/src/settings.rs
+++ b/chestnutstage_gateway/src/settings.rs
@@ -8,6 +8,9 @@
 use chestnutstage_core::ids::{InstanceId, ZoneId};
 use serde::{Deserialize, Serialize};
 
+/// Part of the shared retries that is used; the rest covers instances that joined unseen.
+const RETRY_USED: f64 = 0.8;
+
 /// Settings of a gateway instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -95,6 +98,16 @@
         Duration::from_secs_f64(self.keys_ms / 1e3)
     }
 
+    /// Retries that one instance earns with each request.
+    pub(crate) fn retry_ratio(&self) -> f64 {
+        self.retry_ratio * RETRY_USED
+    }
+
+    /// Retries that one of `count` instances may save up.
+    pub(crate) fn retry_share(&self, count: usize) -> f64 {
+        self.retry_extra * RETRY_USED / count.max(1) as f64
+    }
+
     /// Time for which a shutdown waits for requests under way.
     pub(crate) fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/chestnutstage_gateway/src/shared.rs
+++ b/chestnutstage_gateway/src/shared.rs
@@ -73,9 +73,14 @@
         }
     }
 
-    /// Takes one retry from the budget.
+    /// Takes one retry from this instance's share of the budget.
     pub(crate) fn may_retry(&self) -> bool {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner).retry(0).is_some()
+        let members = self.knowledge.members().len();
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        if members > 0 {
+            budget.set_most(self.settings.bounds.retry_share(members));
+        }
+        budget.retry(0).is_some()
     }
 
     /// Counts a first attempt.
