Waits of 1.6 s: an instance stays ready on what it knows

It hit a single instance as well; nine confirm each other and did not show it. Change: waits of 1.6 s (2.7 s at the most), readiness up to 3.2 s, missing routes and unknown keys count up to 2.9 s.

--- a/chestnutstage_gateway/src/admission.rs
+++ b/chestnutstage_gateway/src/admission.rs
@@ -16,7 +16,7 @@
 use crate::shared::Shared;
 
 /// Age of the rules from which a missing route or an unknown key may be due to that age.
-const CERTAIN_AGE: Duration = Duration::from_millis(2_300);
+const CERTAIN_AGE: Duration = Duration::from_millis(2_900);
 /// Time by which the bound on the age of keys is undercut, for the way to the endpoint.
 const KEY_MARGIN: Duration = Duration::from_millis(500);
 /// Why a request is not placed, and when to come back.
--- a/chestnutstage_gateway/src/knowledge.rs
+++ b/chestnutstage_gateway/src/knowledge.rs
@@ -28,7 +28,7 @@
 use crate::peers::PeerRules;
 
 /// Longest wait of a call for changes; its answer also proves that the knowledge is fresh.
-const FOLLOW_WAIT: Duration = Duration::from_secs(2);
+const FOLLOW_WAIT: Duration = Duration::from_millis(1_600);
 /// Time after which a change is seen by calls that wait for it, at the latest.
 const CHANGE_DELAY: Duration = Duration::from_millis(1_100);
 /// Time for which a peer's endpoints may differ from the own ones: news reach all within a few round trips.
--- a/chestnutstage_gateway/src/shared.rs
+++ b/chestnutstage_gateway/src/shared.rs
@@ -18,7 +18,7 @@
 use crate::settings::Settings;
 
 /// Age of the operators' rules from which an instance asks the balancer for no more callers.
-const READY_AGE: Duration = Duration::from_secs(3);
+const READY_AGE: Duration = Duration::from_millis(3_200);
 
 /// Adapters of everything outside.
 #[derive(Debug, Clone)]
