--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -30,9 +30,8 @@
 const SILENT_MIN: Duration = Duration::from_secs(1);
 /// Targets without a first event after which another endpoint is tried.
 const SILENT_FIRST: f64 = 2.0;
-
-/// Silences after which another endpoint is tried although this one still reports its load.
-const SILENCES: u32 = 1;
+/// Times that another endpoint is tried for one silence; then the stream is only waited for.
+const DOUBTS_MAX: u32 = 2;
 
 /// A stream of events on its way to a caller.
 struct Passage {
@@ -42,8 +41,8 @@
     begun: bool,
     /// Longest pause between two events.
     pause: Duration,
-    /// Silences that were waited out since the last event.
-    silences: u32,
+    /// Silences since the last event after which another endpoint was tried.
+    doubts: u32,
 }
 
 /// What came next on a stream.
@@ -67,7 +66,7 @@
         last: Instant::now(),
         begun: false,
         pause: Duration::ZERO,
-        silences: 0,
+        doubts: 0,
     };
     let frames = unfold(passage, |mut passage| async move {
         let item = passage.next().await?;
@@ -145,7 +144,7 @@
             self.note_first(now);
         }
         self.last = now;
-        self.silences = 0;
+        self.doubts = 0;
     }
 
     fn note_first(&mut self, now: Instant) {
@@ -171,7 +170,7 @@
         let exchange = &self.exchange;
         if exchange.route.repeat != Repeat::Resumable
             || exchange.runs >= exchange.route.attempts
-            || self.silences > SILENCES
+            || self.doubts >= DOUBTS_MAX
         {
             return exchange.deadline;
         }
@@ -188,9 +187,9 @@
     /// Tries another endpoint after a silence. An engine that reads a long prompt is silent, too; so the present stream is
     /// given up only for one that has begun.
     async fn doubt(&mut self) {
-        self.silences += 1;
+        self.doubts += 1;
         self.last = Instant::now();
-        if self.silences < SILENCES || self.exchange.relay.partial() > 0 || !self.exchange.may_repeat() {
+        if self.exchange.relay.partial() > 0 || !self.exchange.may_repeat() {
             return;
         }
         if let Attempt::Begun(upstream) = self.exchange.attempt().await
@@ -208,7 +207,7 @@
         self.exchange.relay.resume();
         self.upstream = Some(upstream);
         self.last = Instant::now();
-        self.silences = 0;
+        self.doubts = 0;
         self.begun = false;
     }
 
