--- a/chestnutstage_gateway/src/knowledge.rs
+++ b/chestnutstage_gateway/src/knowledge.rs
@@ -1,8 +1,8 @@
 //! What this instance knows from the store, and how old that is.
 //!
 //! Each topic is read whole once and then followed. Knowledge is as old as the moment at which the last answered call was
-//! sent, or at which its wait for changes ended without one. A peer that knows the same revision at a later moment makes
-//! the knowledge here as fresh, so that an instance that the store turns away goes on while the others are served.
+//! sent, or at which its wait for changes ended without one. A peer that knows the same rules at a later moment makes the
+//! knowledge here as fresh, so that an instance that the store turns away goes on while the others are served.
 //! Versions of the catalog only rise.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -314,7 +314,9 @@
             Topic::Endpoints => self.take_listings(news.facts, whole).await,
             Topic::Members => {
                 let count = self.knowledge.take_members(news.facts, whole);
-                _ = self.dispatcher.tell(Instances(count)).await;
+                if self.dispatcher.tell(Instances(count)).await.is_err() {
+                    warn!(count; "the dispatcher is gone; shared rates stay divided as they were");
+                }
             }
         }
     }
@@ -325,7 +327,9 @@
         }
         let Some(directory) = self.knowledge.directory() else { return };
         let zones_out = self.knowledge.zones_out();
-        _ = self.dispatcher.tell(Rules { directory, zones_out }).await;
+        if self.dispatcher.tell(Rules { directory, zones_out }).await.is_err() {
+            warn!("the dispatcher is gone; the rules are not in force");
+        }
     }
 
     async fn take_listings(&self, facts: Vec<Fact>, whole: bool) {
