--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -234,11 +234,6 @@
         sites.fold(0, |hash, (key, s)| hash ^ key.0.rotate_left(u32::from(s.listing.leaving)))
     }
 
-    /// Name, address and zone of a life of an endpoint.
-    pub fn listing(&self, key: Key) -> Option<&Listing> {
-        self.sites.get(&key).map(|s| &s.listing)
-    }
-
     /// The endpoint at an address.
     pub fn at(&self, address: SocketAddr) -> Option<Key> {
         self.sites.iter().find(|(_, s)| s.listing.address == address).map(|(k, _)| *k)
--- a/chestnutstage_gateway/src/knowledge.rs
+++ b/chestnutstage_gateway/src/knowledge.rs
@@ -165,6 +165,11 @@
         self.lock().zones_out.iter().cloned().collect()
     }
 
+    /// Number of instances that the store names.
+    pub(crate) fn member_count(&self) -> usize {
+        self.lock().members.len()
+    }
+
     /// The other instances.
     pub(crate) fn members(&self) -> Vec<Member> {
         self.lock().members.values().cloned().collect()
