Idle connections to an endpoint are divided among the instances

Cause: an endpoint accepts a published number of connections from all instances together, and resets those beyond. Ruled out: connections in use, which placement bounds by the slots. Tests: scarce_connections (failed before: the connection was kept), connections_shared.

--- a/chestnutstage_core/src/catalog.rs
+++ b/chestnutstage_core/src/catalog.rs
@@ -118,6 +118,18 @@
     pub engine: Option<Costs>,
 }
 
+/// Connections in use that an endpoint may have for each of its slots: those that answer, and those that open meanwhile.
+const USED_PER_SLOT: u32 = 2;
+
+impl ServiceSpec {
+    /// Idle connections that each of `instances` may keep to an endpoint with `slots`: an equal part of those that are not in
+    /// use.
+    pub fn idle_share(&self, slots: u32, instances: usize) -> usize {
+        let used = slots.saturating_mul(USED_PER_SLOT);
+        self.connections.saturating_sub(used) as usize / instances.max(1)
+    }
+}
+
 /// One customer and the keys that name it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Account {
--- a/chestnutstage_core/tests/catalog.rs
+++ b/chestnutstage_core/tests/catalog.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chestnutstage_core::catalog::{Account, CallerLimits, Catalog, Directory, Repeat, Route, Share, Target};
+use chestnutstage_core::catalog::{
+    Account, CallerLimits, Catalog, ColdRate, Directory, Repeat, Route, ServiceSpec, Share, Target,
+};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -88,3 +90,16 @@
     assert!(Repeat::Idempotent.is_repeatable() && Repeat::Resumable.is_repeatable());
     assert!(!Repeat::Once.is_repeatable() && !Repeat::Stream.is_repeatable());
 }
+
+/// Idle connections of all instances and those in use fit into what an endpoint accepts.
+#[test]
+fn connections_shared() {
+    for (connections, slots, instances) in [(110, 6, 72), (49, 6, 7), (434, 16, 9), (268, 12, 72), (10, 6, 9)]
+    {
+        let spec = ServiceSpec { connections, cold: ColdRate::default(), engine: None };
+        let idle = spec.idle_share(slots, instances) * instances;
+        assert!(idle == 0 || idle + 2 * slots as usize <= connections as usize, "{connections} {instances}");
+    }
+    let spec = ServiceSpec { connections: 110, cold: ColdRate::default(), engine: None };
+    assert_eq!(spec.idle_share(6, 72), 1);
+}
--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -64,6 +64,8 @@
     pub(crate) channel: Channel,
     pub(crate) key: Key,
     pub(crate) address: SocketAddr,
+    /// Idle connections that may be kept to it.
+    pub(crate) idle_share: usize,
     pub(crate) granted: Granted,
     pub(crate) _tickets: Option<Tickets>,
     pub(crate) sent: Instant,
@@ -124,6 +126,7 @@
             channel,
             key: placement.key,
             address: placement.listing.address,
+            idle_share: self.shared.idle_share(&placement.listing),
             granted,
             _tickets: tickets,
             sent,
--- a/chestnutstage_gateway/src/channel.rs
+++ b/chestnutstage_gateway/src/channel.rs
@@ -153,11 +153,11 @@
         None
     }
 
-    /// Keeps a connection whose answer was read whole.
-    pub(crate) fn put(&self, key: Key, channel: Channel) {
+    /// Keeps a connection whose answer was read whole, if `most` are not yet kept.
+    pub(crate) fn put(&self, key: Key, channel: Channel, most: usize) {
         let mut idle = self.lock();
         let queue = idle.entry(key).or_default();
-        if queue.len() < IDLE_MAX && !channel.sender.is_closed() {
+        if queue.len() < most.min(IDLE_MAX) && !channel.sender.is_closed() {
             queue.push(Idle { channel, since: Instant::now() });
         }
     }
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -223,7 +223,7 @@
     /// Reads an answer whole and passes it on; gives nothing if the request is to be tried again.
     async fn take_whole(&mut self, upstream: Box<Upstream>) -> Option<Answer> {
         let closes = upstream.closes();
-        let Upstream { mut head, body, channel, key, granted: _granted, .. } = *upstream;
+        let Upstream { mut head, body, channel, key, idle_share, granted: _granted, .. } = *upstream;
         let read = timeout_at(self.deadline, Limited::new(body, WHOLE_MAX).collect()).await;
         let bytes = match read {
             Ok(Ok(collected)) => collected.to_bytes(),
@@ -235,7 +235,7 @@
             Err(_) => return Some(self.fail()),
         };
         if !closes {
-            self.shared.channels.put(key, channel);
+            self.shared.channels.put(key, channel, idle_share);
         }
         let failed = head.status.is_server_error() && self.route.repeat == Repeat::Idempotent;
         if promises_not_run(head.status) {
--- a/chestnutstage_gateway/src/shared.rs
+++ b/chestnutstage_gateway/src/shared.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chestnutstage_core::budget::RetryBudget;
+use chestnutstage_core::pool::Listing;
 use kameo::actor::ActorRef;
 
 use crate::channel::Channels;
@@ -61,6 +62,13 @@
         self.running.load(Ordering::Relaxed) == 0
     }
 
+    /// Idle connections that this instance may keep to an endpoint; none while its service is unknown.
+    pub(crate) fn idle_share(&self, listing: &Listing) -> usize {
+        let Some(directory) = self.knowledge.directory() else { return 0 };
+        let spec = directory.catalog().services.get(&listing.service);
+        spec.map_or(0, |spec| spec.idle_share(listing.slots, self.knowledge.member_count()))
+    }
+
     /// Takes one retry from this instance's share of the budget.
     pub(crate) fn may_retry(&self) -> bool {
         let members = self.knowledge.member_count();
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -236,9 +236,9 @@
         let pause_ms = self.pause.as_millis() as u64;
         info!(request = self.exchange.id, events, pause_ms; "stream complete");
         let closes = upstream.closes();
-        let Upstream { channel, key, .. } = *upstream;
+        let Upstream { channel, key, idle_share, .. } = *upstream;
         if !closes {
-            self.exchange.shared.channels.put(key, channel);
+            self.exchange.shared.channels.put(key, channel, idle_share);
         }
     }
 }
--- a/chestnutstage_gateway/tests/common/backend.rs
+++ b/chestnutstage_gateway/tests/common/backend.rs
@@ -1,6 +1,7 @@
 //! Endpoints that answer raw bytes, so that they can break the protocol at any point.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
     pub address: SocketAddr,
     /// Requests as they came, body included.
     pub seen: Mutex<Vec<String>>,
+    /// Connections that were opened.
+    pub accepted: AtomicUsize,
     /// Notified when a caller closes a connection on which the endpoint hangs.
     pub closed: Notify,
     replies: Mutex<Vec<Reply>>,
@@ -69,12 +72,14 @@
         let backend = Arc::new(Self {
             address: listener.local_addr().unwrap(),
             seen: Mutex::default(),
+            accepted: AtomicUsize::new(0),
             closed: Notify::new(),
             replies: Mutex::new(replies),
         });
         let serving = backend.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                serving.accepted.fetch_add(1, Ordering::SeqCst);
                 tokio::spawn(serving.clone().serve(stream));
             }
         });
--- a/chestnutstage_gateway/tests/routed_calls.rs
+++ b/chestnutstage_gateway/tests/routed_calls.rs
@@ -2,6 +2,10 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
 use chestnutstage_gateway::outside::{Fact, Topic};
 use common::backend::{Backend, Reply, answer, success};
 use common::outside::Book;
@@ -56,7 +60,7 @@
 
 #[tokio::test]
 async fn before_the_catalog() {
-    let stage = Stage::with_book("i1", std::sync::Arc::new(Book::default())).await;
+    let stage = Stage::with_book("i1", Arc::new(Book::default())).await;
     assert!(!stage.ready().await);
     let answer = stage.request(Method::GET, "/look/x").send().await.unwrap();
     assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE, "nothing is known: neither 404 nor 401");
@@ -138,3 +142,31 @@
         "a finished answer is delivered, whatever its size"
     );
 }
+
+/// An endpoint that accepts few connections is left none that are idle.
+#[tokio::test]
+async fn scarce_connections() {
+    let backend = Backend::start(vec![success("done")]).await;
+    let book = Arc::new(Book::default());
+    let mut scarce = catalog(1);
+    for spec in scarce.services.values_mut() {
+        spec.connections = 33;
+    }
+    book.tell(Topic::Operators, vec![Fact::Catalog(Box::new(scarce))]);
+    book.tell(Topic::Endpoints, vec![Fact::Listed(listing("d1", "desk", backend.address))]);
+    let near = Stage::with_book("i1", book.clone()).await;
+    let far = Stage::with_book("i2", book.clone()).await;
+    near.until_ready().await;
+    far.until_ready().await;
+    while book.told(Topic::Members).len() < 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let state = format!("http://{}/state", near.gateway.bound().checks);
+    while near.http.get(&state).send().await.unwrap().text().await.unwrap().matches("Member {").count() < 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for sent in 1..=3 {
+        assert_eq!(near.status(Method::GET, "/look/x").await, StatusCode::OK);
+        assert_eq!(backend.accepted.load(Ordering::SeqCst), sent);
+    }
+}
