chestnutctl asks an instance of the gateway for readiness, metrics and state

Change: chestnutctl gateway ready|metrics|state, at the address of the checks; exit code 1 if not ready or not reached. Tests: gateway before_and_after, nobody_there; the stand-ins are those of the gateway's own tests.

--- a/chestnutctl/src/cli.rs
+++ b/chestnutctl/src/cli.rs
@@ -57,6 +57,9 @@
         /// The request's id, as in the `x-request-id` header of its answer.
         request: String,
     },
+    /// An instance of the gateway, with the address of its checks as base URL.
+    #[command(subcommand)]
+    Gateway(Gateway),
     /// Check a file of settings or defaults, offline.
     Check {
         /// The file.
@@ -86,6 +89,16 @@
     },
 }
 
+#[derive(Debug, Subcommand)]
+pub(crate) enum Gateway {
+    /// Whether it takes callers; the exit code is 1 if not.
+    Ready,
+    /// Print its metrics.
+    Metrics,
+    /// Dump of its state: rules, members, endpoints, and the work granted on them.
+    State,
+}
+
 #[derive(Debug, Subcommand)]
 pub(crate) enum Defaults {
     /// Print the defaults in force.
--- a/chestnutctl/src/client.rs
+++ b/chestnutctl/src/client.rs
@@ -65,6 +65,19 @@
         self.send(request.json(&body)).await
     }
 
+    /// Text of one of a gateway's checks.
+    pub(crate) async fn gateway(&self, path: &str) -> Result<String, CtlError> {
+        let failed = |e: reqwest::Error| CtlError::Call { peer: self.address.clone(), reason: e.to_string() };
+        let response = self.get(path).send().await.map_err(failed)?;
+        let status = response.status();
+        let text = response.text().await.map_err(failed)?;
+        if status.is_success() {
+            return Ok(text);
+        }
+        let reason = format!("{status}: {}", text.trim_end());
+        Err(CtlError::Call { peer: self.address.clone(), reason })
+    }
+
     fn get(&self, path: &str) -> RequestBuilder {
         self.http.get(format!("{}/{path}", self.address))
     }
--- a/chestnutctl/src/commands.rs
+++ b/chestnutctl/src/commands.rs
@@ -15,7 +15,7 @@
 use serde_json::Value;
 
 use crate::certs;
-use crate::cli::{ChangeArgs, Cli, Command, Customers, Defaults, Exceptions, RuleArgs, Service};
+use crate::cli::{ChangeArgs, Cli, Command, Customers, Defaults, Exceptions, Gateway, RuleArgs, Service};
 use crate::client::Client;
 use crate::error::CtlError;
 use crate::output::table;
@@ -33,6 +33,7 @@
         Command::Status => tool.status().await,
         Command::State { instance } => print_json(&tool.client.state(&instance).await?),
         Command::Explain { request } => tool.explain(&request).await,
+        Command::Gateway(command) => tool.gateway(&command).await,
         Command::Check { file } => check(&file),
         Command::Certs { out, instances } => certs::make(&out, &instances),
         Command::HashKey => {
@@ -54,6 +55,16 @@
 }
 
 impl Tool {
+    async fn gateway(&self, command: &Gateway) -> Result<(), CtlError> {
+        let path = match command {
+            Gateway::Ready => "ready",
+            Gateway::Metrics => "metrics",
+            Gateway::State => "state",
+        };
+        print!("{}", self.client.gateway(path).await?);
+        Ok(())
+    }
+
     async fn defaults(&self, command: Defaults) -> Result<(), CtlError> {
         match command {
             Defaults::Get => {
--- /dev/null
+++ b/chestnutctl/tests/gateway.rs
@@ -0,0 +1,51 @@
+//! The tool against an instance of the gateway.
+
+#[path = "../../chestnutstage_gateway/tests/common/mod.rs"]
+mod common;
+
+use std::process::Command;
+use std::sync::Arc;
+
+use chestnutstage_gateway::outside::{Fact, Topic};
+use common::outside::Book;
+use common::{Stage, catalog, listing};
+use tokio::task::spawn_blocking;
+
+/// Exit code and output of a command of the gateway.
+async fn run(stage: &Stage, command: &'static str) -> (Option<i32>, String) {
+    let address = format!("http://{}", stage.gateway.bound().checks);
+    let output = spawn_blocking(move || {
+        let mut tool = Command::new(env!("CARGO_BIN_EXE_chestnutctl"));
+        tool.args(["--address", &address, "gateway", command]).output().unwrap()
+    });
+    let output = output.await.unwrap();
+    let text = String::from_utf8([output.stdout, output.stderr].concat()).unwrap();
+    (output.status.code(), text)
+}
+
+#[tokio::test]
+async fn before_and_after() {
+    let stage = Stage::with_book("i1", Arc::new(Book::default())).await;
+    let (code, text) = run(&stage, "ready").await;
+    assert_eq!(code, Some(1));
+    assert!(text.contains("503") && text.contains("not ready"), "{text}");
+    stage.book.tell(Topic::Operators, vec![Fact::Catalog(Box::new(catalog(7)))]);
+    let endpoint = listing("e1", "llm", "127.0.0.1:1".parse().unwrap());
+    stage.book.tell(Topic::Endpoints, vec![Fact::Listed(endpoint)]);
+    stage.until_ready().await;
+    assert_eq!(run(&stage, "ready").await, (Some(0), "ready\n".to_owned()));
+    let (code, text) = run(&stage, "state").await;
+    assert_eq!(code, Some(0));
+    assert!(text.contains("catalog = Some(7)") && text.contains("e1"), "{text}");
+    // The counter exists once the engine was first asked for its load.
+    while !run(&stage, "metrics").await.1.contains("chestnutstage_reports_total") {}
+    assert_eq!(run(&stage, "metrics").await.0, Some(0));
+}
+
+#[test]
+fn nobody_there() {
+    let mut tool = Command::new(env!("CARGO_BIN_EXE_chestnutctl"));
+    let output = tool.args(["--address", "http://127.0.0.1:1", "gateway", "ready"]).output().unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8(output.stderr).unwrap().contains("call of http://127.0.0.1:1"));
+}
