Placement of a long prompt: the load of writers by pause, one room for all ratings

A third of it went into the list of writers of each engine, the rest into nine ratings of all engines, each with a list of its own and a sum over all engines. Ruled out: fewer numbers of readers to try (the cost is not convex in them: a step where the first event is in time). Change: writers with the same longest pause are one entry with the sum of their worth (the loss is a sum, so nothing changes); ratings share one list; how busy the bulk engines are is summed once.

--- a/chestnutstage_core/src/pool/load.rs
+++ b/chestnutstage_core/src/pool/load.rs
@@ -53,7 +53,7 @@
     pub(super) bulk_reads: f64,
     /// What is left of each read, in milliseconds.
     rests: Vec<f64>,
-    /// Longest pause that is on time and value, for each writer.
+    /// Longest pauses that are on time, and the value of all writers that have them.
     writers: Vec<(u32, f32)>,
     /// The same for each read whose writing begins soon; the time until its first event is late counts as a pause.
     readers: Vec<(f64, f32)>,
@@ -62,6 +62,13 @@
 }
 
 impl Load {
+    fn add_writer(&mut self, gap: u32, value: f32) {
+        match self.writers.iter_mut().find(|(other, _)| *other == gap) {
+            Some((_, sum)) => *sum += value,
+            None => self.writers.push((gap, value)),
+        }
+    }
+
     /// Worth that is lost when a pass lasts `pass` milliseconds.
     fn loss(&self, pass: f64) -> f64 {
         let writers = self.writers.iter().filter(|(gap, _)| pass > f64::from(*gap)).map(|(_, v)| *v);
@@ -134,7 +141,7 @@
         }
         let mut patience = f64::from(grant.gap);
         if grant.first.is_some() {
-            load.writers.push((grant.gap, grant.value));
+            load.add_writer(grant.gap, grant.value);
         } else {
             patience = patience.min(grant.due.since(now).as_secs_f64() * 1e3);
             load.readers.push((patience, grant.value));
--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -106,6 +106,19 @@
     unseen: f64,
     /// Worth by which requests of brief work differ in their liking of an engine.
     spread: f64,
+    /// Part of the bulk engines' time that is used, from zero to one.
+    busy: f64,
+}
+
+/// What a part of bulk work costs on an engine.
+#[derive(Clone, Copy)]
+struct Rated {
+    /// Worth that others lose, and what the choice of the engine costs besides.
+    side: f64,
+    /// The same with what is lost by waiting.
+    cost: f64,
+    first: f64,
+    index: usize,
 }
 
 /// A way to place a request and what it costs.
@@ -150,7 +163,8 @@
         let unseen = self.unseen();
         let brief_width = brief_width(costs, &open, unseen);
         let spread = SPREAD_PRICE * self.peers.len() as f64;
-        let engines = Engines { costs, open, brief_width, unseen, spread };
+        let busy = busy(&open, brief_width);
+        let engines = Engines { costs, open, brief_width, unseen, spread, busy };
         match work {
             Work::Bulk => engines.place_bulk(now, demand),
             _ => engines.place_brief(now, demand),
@@ -183,6 +197,13 @@
     open.len().saturating_sub(bulk).clamp(needed.min(most), liked.max(needed).min(most)).max(1)
 }
 
+/// Part of the bulk engines' time that is used, from zero to one.
+fn busy(open: &[Candidate<'_>], brief_width: usize) -> f64 {
+    let ahead: f64 = open.iter().map(|c| c.load.bulk_reads).sum();
+    let engines = open.len().saturating_sub(brief_width).max(1) as f64;
+    (ahead / (engines * BUSY_READS)).min(1.0)
+}
+
 fn part_of_slots(costs: &Costs, part: f64) -> u32 {
     ((f64::from(costs.slots) * part) as u32).max(1)
 }
@@ -266,7 +287,8 @@
 
     fn place_bulk(&self, now: Time, demand: &Demand<'_>) -> Result<Granting, Refusal> {
         let most = self.open.len();
-        let plans = PARTS.iter().map(|&parts| parts.min(most)).filter_map(|parts| self.plan(demand, parts));
+        let mut rated = Vec::with_capacity(most);
+        let plans = PARTS.iter().filter_map(|&parts| self.plan(demand, parts.min(most), &mut rated));
         let Some(plan) = plans.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
             return Err(Refusal::new(Cause::NoMemory, Duration::from_secs(1), demand.jitter));
         };
@@ -309,30 +331,27 @@
         let late = plan.first > millis(demand.first);
         let own = value_of(demand) * if late { 1.0 - LATE } else { 1.0 };
         let work = self.costs.read(demand.tokens, 1) / 1e3;
-        own - plan.side - work * ENGINE_WORTH * self.busy()
+        own - plan.side - work * ENGINE_WORTH * self.busy
     }
 
-    /// The best choice of `parts` engines, the writer first.
-    fn plan(&self, demand: &Demand<'_>, parts: usize) -> Option<Plan> {
+    /// The best choice of `parts` engines, the writer first. `rated` is room to work in.
+    fn plan(&self, demand: &Demand<'_>, parts: usize, rated: &mut Vec<Rated>) -> Option<Plan> {
         let read = self.costs.read(demand.tokens, parts as u32);
-        let mut rated: Vec<(f64, f64, f64, usize)> = self
-            .open
-            .iter()
-            .enumerate()
-            .map(|(index, c)| {
-                let first = Self::first(c, read);
-                let region = if c.rank < self.brief_width { BULK_REGION } else { 0.0 };
-                let wait = WAIT_PRICE * value_of(demand) * first / 1e3;
-                (Self::damage(c, read) + region + TASTE_PRICE * c.taste, wait, first, index)
-            })
-            .collect();
+        let wait = WAIT_PRICE * value_of(demand) / 1e3;
+        rated.clear();
+        rated.extend(self.open.iter().enumerate().map(|(index, c)| {
+            let first = Self::first(c, read);
+            let region = if c.rank < self.brief_width { BULK_REGION } else { 0.0 };
+            let side = Self::damage(c, read) + region + TASTE_PRICE * c.taste;
+            Rated { side, cost: side + wait * first, first, index }
+        }));
         if parts < rated.len() {
-            rated.select_nth_unstable_by(parts, |a, b| (a.0 + a.1).total_cmp(&(b.0 + b.1)));
+            rated.select_nth_unstable_by(parts, |a, b| a.cost.total_cmp(&b.cost));
             rated.truncate(parts);
         }
-        let first = rated.iter().map(|r| r.2).fold(0.0, f64::max) + self.straggle(parts);
-        let side: f64 = rated.iter().map(|r| r.0).sum();
-        let mut parts: Vec<usize> = rated.iter().map(|r| r.3).collect();
+        let first = rated.iter().map(|r| r.first).fold(0.0, f64::max) + self.straggle(parts);
+        let side: f64 = rated.iter().map(|r| r.side).sum();
+        let mut parts: Vec<usize> = rated.iter().map(|r| r.index).collect();
         let needed = demand.tokens + demand.output;
         self.lead_first(&mut parts, needed)?;
         let pass = Self::longest_pass(&self.open[parts[0]], read);
@@ -347,14 +366,7 @@
     /// meanwhile, and the first event waits for all of them.
     fn straggle(&self, parts: usize) -> f64 {
         let spread = (parts as f64).ln();
-        STRAGGLE * spread * spread * (STRAGGLE_IDLE + (1.0 - STRAGGLE_IDLE) * self.busy())
-    }
-
-    /// Part of the bulk engines' time that is used, from zero to one.
-    fn busy(&self) -> f64 {
-        let ahead: f64 = self.open.iter().map(|c| c.load.bulk_reads).sum();
-        let engines = self.open.len().saturating_sub(self.brief_width).max(1) as f64;
-        (ahead / (engines * BUSY_READS)).min(1.0)
+        STRAGGLE * spread * spread * (STRAGGLE_IDLE + (1.0 - STRAGGLE_IDLE) * self.busy)
     }
 
     /// Puts the writer first: an engine with a slot and much free memory. Instances that choose at the same moment differ
