An engine that takes requests and answers none is left, and its requests are answered elsewhere

Joined log lines: 51 brief prompts at 9 to 12 s lay on seven engines that took requests, sent no head and gave sound load reports; a stream's head was waited for until the deadline. Ruled out: load reports as a sign (sound all the while). Change: an engine is silent only if, besides, none of its other requests got a first event since. Grants that are past due keep that over a peer's message (they were taken as due just now). A stream's head is waited for as long as the engine is not silent. Tests: silent_engine, silent_from_the_start (both failed before), late_engine.

--- a/chestnutstage_core/src/budget.rs
+++ b/chestnutstage_core/src/budget.rs
@@ -50,6 +50,11 @@
         self.saved = (self.saved + self.earned).min(self.saved_max);
     }
 
+    /// Whether a retry is left.
+    pub const fn has_retry(&self) -> bool {
+        self.saved >= PRICE
+    }
+
     /// Delay before retry number `retry` (from zero), or none if the budget is used up.
     pub fn retry(&mut self, retry: u32) -> Option<Duration> {
         self.saved = self.saved.checked_sub(PRICE)?;
--- a/chestnutstage_core/src/pool/load.rs
+++ b/chestnutstage_core/src/pool/load.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::hash::{BuildHasherDefault, Hasher};
+use std::time::Duration;
 
 use super::{Grant, Key, Pool, Work};
 use crate::time::Time;
@@ -9,6 +10,10 @@
 /// Rest of a read that lasts longer than it should, in milliseconds.
 const OVERDUE: f64 = 20.0;
 
+/// Time past its due moment after which a brief request without a first event counts as one that got no answer; over the
+/// time that peers take to hear of a first event.
+const UNANSWERED: Duration = Duration::from_millis(700);
+
 /// Takes a [`Key`] as it is: it is a hash already.
 #[derive(Debug, Default)]
 pub(super) struct KeyHasher(u64);
@@ -43,6 +48,12 @@
     pub(super) briefs: u32,
     /// Bulk requests among them.
     pub(super) bulks: u32,
+    /// Brief requests that got no answer long after it was due.
+    unanswered: u32,
+    /// When the first of them was granted.
+    unanswered_since: Option<Time>,
+    /// When the last first event of an answer came.
+    answered: Option<Time>,
     /// Tokens of context that a step goes through.
     pub(super) context: u64,
     /// Tokens of memory that are filled or will be.
@@ -69,6 +80,12 @@
         }
     }
 
+    /// Whether `count` brief requests or more got no answer, and none of the others one since. An engine that has too much to
+    /// do is late as well, but answers some.
+    pub(super) fn is_silent(&self, count: u32) -> bool {
+        self.unanswered >= count && self.answered < self.unanswered_since
+    }
+
     /// Worth that is lost when a pass lasts `pass` milliseconds.
     fn loss(&self, pass: f64) -> f64 {
         let writers = self.writers.iter().filter(|(gap, _)| pass > f64::from(*gap)).map(|(_, v)| *v);
@@ -97,6 +114,11 @@
         self.loads(now).get(&key).map_or((0, 0), |load| (load.memory, load.held))
     }
 
+    /// Whether an engine took a request long ago and answers nothing since.
+    pub fn is_silent(&self, now: Time, key: Key) -> bool {
+        self.loads(now).get(&key).is_some_and(|load| load.is_silent(1))
+    }
+
     /// Loads of all endpoints that hold anything.
     pub(super) fn loads(&self, now: Time) -> Loads {
         let mut loads = Loads::default();
@@ -141,8 +163,14 @@
         }
         let mut patience = f64::from(grant.gap);
         if grant.first.is_some() {
+            load.answered = load.answered.max(grant.first);
             load.add_writer(grant.gap, grant.value);
         } else {
+            if grant.work == Work::Brief && now.since(grant.due) > UNANSWERED {
+                load.unanswered += 1;
+                let since = load.unanswered_since.map_or(grant.granted, |since| since.min(grant.granted));
+                load.unanswered_since = Some(since);
+            }
             patience = patience.min(grant.due.since(now).as_secs_f64() * 1e3);
             load.readers.push((patience, grant.value));
         }
--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -294,7 +294,7 @@
         for grant in &mut snapshot.grants {
             grant.granted = shift(grant.granted);
             grant.first = grant.first.map(shift);
-            grant.due = now + grant.due.since(sent);
+            grant.due = if grant.due < sent { shift(grant.due) } else { now + grant.due.since(sent) };
         }
         for (key, rest) in &snapshot.paused {
             if let Some(site) = self.sites.get_mut(key) {
--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -16,6 +16,9 @@
 use crate::engine::Costs;
 use crate::time::Time;
 
+/// Unanswered brief requests from which a silent engine gets nothing more while others answer; a single one may be slow by
+/// itself.
+const UNANSWERED_MAX: u32 = 2;
 /// Part of an engine's slots with brief requests at which their pauses stay short.
 const BRIEFS_LIKED: f64 = 0.625;
 /// Passes that a brief prompt's read may last.
@@ -147,7 +150,7 @@
     ) -> Result<Granting, Refusal> {
         let idle = Load::default();
         let open = self.open_sites(now, demand);
-        let open: Vec<_> = open
+        let mut open: Vec<_> = open
             .into_iter()
             .map(|(rank, key, site)| {
                 let load = loads.get(&key).unwrap_or(&idle);
@@ -159,6 +162,10 @@
         if open.is_empty() {
             return Err(Refusal::new(Cause::NoEndpoint, RETRY_MIN, demand.jitter));
         }
+        // A silent engine looks idle and would get ever more.
+        if open.iter().any(|c| !c.load.is_silent(UNANSWERED_MAX)) {
+            open.retain(|c| !c.load.is_silent(UNANSWERED_MAX));
+        }
         let work = work_of(costs, demand);
         let unseen = self.unseen();
         let brief_width = brief_width(costs, &open, unseen);
--- a/chestnutstage_core/tests/placement.rs
+++ b/chestnutstage_core/tests/placement.rs
@@ -277,3 +277,26 @@
     );
     assert!(place(&mut pool, at(3_000), 100).is_ok(), "warm again");
 }
+
+/// An engine that takes requests and answers none looks idle. What a peer's requests wait for is known here, too.
+#[test]
+fn silent_engine() {
+    let (mut near, mut far) = (pool(2), pool(2));
+    let silent = place(&mut far, at(0), 4_000).unwrap().key;
+    while place(&mut far, at(0), 4_000).unwrap().key != silent {}
+    near.hear(at(1_500), "i2".into(), at(1_500), far.snapshot(at(1_500)));
+    for _ in 0..4 {
+        assert_ne!(place(&mut near, at(1_500), 4_000).unwrap().key, silent);
+    }
+}
+
+/// An engine that has too much to do answers late, but answers; the others could not bear its work, too.
+#[test]
+fn late_engine() {
+    let mut pool = pool(1);
+    let late = place(&mut pool, at(0), 4_000).unwrap();
+    place(&mut pool, at(0), 4_000).unwrap();
+    place(&mut pool, at(0), 4_000).unwrap();
+    pool.begin(at(1_400), late.number);
+    assert!(!pool.is_silent(at(1_500), late.key));
+}
--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 //! may go there, and sends it. What comes back is classified once, in [`Attempt`].
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,15 +25,18 @@
 use crate::admission::find_customer;
 use crate::answer::{Answer, RETRY_SOON, Reason, answer};
 use crate::channel::{Channel, SendFailure};
-use crate::dispatcher::{Ended, Failed, FailedAt, IsOpen, Place};
+use crate::dispatcher::{Ended, Failed, FailedAt, IsOpen, IsSilent, Place};
 use crate::exchange::Exchange;
 use crate::headers::text;
 use crate::shared::Shared;
+use crate::stream::SILENT_MIN;
 use crate::tickets::{Tickets, Wanted};
 
-/// Targets for which an idempotent call waits before it is sent to another endpoint.
+/// Targets for which a request waits for the head of its answer before it is sent to another endpoint.
 const PATIENCE: f64 = 2.0;
-/// Addition to that, for a network that lost a packet.
+/// Time after which it thinks of that again.
+const LOOK_AGAIN: Duration = Duration::from_millis(300);
+/// Addition to that for a call, for a network that lost a packet.
 const PATIENCE_EXTRA: Duration = Duration::from_millis(80);
 /// Silence of an engine after which it is asked for a load report.
 const GONE_SILENCE: Duration = Duration::from_secs(1);
@@ -153,20 +157,26 @@
         sent: Instant,
     ) -> Result<Response<Incoming>, Attempt> {
         let (id, address) = (&placement.listing.id, placement.listing.address);
-        let limit = self.head_limit(sent, placement.expected);
-        let failure = tokio::select! {
-            answered = timeout_at(limit, channel.send(request)) => match answered {
-                Ok(Ok(response)) => {
-                    self.sends += 1;
-                    return Ok(response);
-                }
-                Ok(Err(SendFailure::NotSent(why))) => {
-                    return Err(Attempt::NotRun(format!("{id} closed the connection: {why}")));
-                }
-                Ok(Err(SendFailure::Unknown(why))) => format!("{id}: {why}"),
-                Err(_) => format!("no answer of {id} in time"),
-            },
-            () = until_gone(&self.shared, address), if self.asks_engine() => format!("{id} is gone"),
+        let mut sending = pin!(channel.send(request));
+        let mut limit = self.head_limit(sent, placement);
+        let failure = loop {
+            tokio::select! {
+                answered = timeout_at(limit, &mut sending) => match answered {
+                    Ok(Ok(response)) => {
+                        self.sends += 1;
+                        return Ok(response);
+                    }
+                    Ok(Err(SendFailure::NotSent(why))) => {
+                        return Err(Attempt::NotRun(format!("{id} closed the connection: {why}")));
+                    }
+                    Ok(Err(SendFailure::Unknown(why))) => break format!("{id}: {why}"),
+                    Err(_) if limit < self.deadline && !self.should_leave(placement.key).await => {
+                        limit = self.deadline.min(limit + LOOK_AGAIN);
+                    }
+                    Err(_) => break format!("no answer of {id} in time"),
+                },
+                () = until_gone(&self.shared, address), if self.asks_engine() => break format!("{id} is gone"),
+            }
         };
         self.sends += 1;
         self.runs += 1;
@@ -255,12 +265,27 @@
         Some(request)
     }
 
-    /// When to stop waiting for the head of an answer.
-    fn head_limit(&self, sent: Instant, expected: Duration) -> Instant {
-        if self.route.repeat != Repeat::Idempotent || self.runs + 1 >= self.route.attempts {
+    /// Whether another endpoint is better than waiting on: one may be tried, and the present one does not just have too much to
+    /// do.
+    async fn should_leave(&self, key: Key) -> bool {
+        if !self.shared.has_retry() {
+            return false;
+        }
+        self.route.repeat == Repeat::Idempotent
+            || self.shared.dispatcher.ask(IsSilent(key)).await.unwrap_or_default()
+    }
+
+    /// When to think of another endpoint while the head of an answer does not come. What several engines read may be silent for longer than forecast.
+    fn head_limit(&self, sent: Instant, placement: &Placement) -> Instant {
+        let awaited = self.route.target.first.max(placement.expected).mul_f64(PATIENCE);
+        let patience = match self.route.repeat {
+            Repeat::Idempotent => awaited + PATIENCE_EXTRA,
+            Repeat::Resumable if placement.helpers.is_empty() => awaited.max(SILENT_MIN),
+            _ => return self.deadline,
+        };
+        if !self.can_repeat(self.runs + 1) {
             return self.deadline;
         }
-        let patience = self.route.target.first.max(expected).mul_f64(PATIENCE) + PATIENCE_EXTRA;
         self.deadline.min(sent + patience)
     }
 
--- a/chestnutstage_gateway/src/dispatcher.rs
+++ b/chestnutstage_gateway/src/dispatcher.rs
@@ -76,6 +76,17 @@
     }
 }
 
+/// Whether an engine took a request long ago and answers nothing since.
+pub(crate) struct IsSilent(pub(crate) Key);
+
+impl Message<IsSilent> for Dispatcher {
+    type Reply = bool;
+
+    async fn handle(&mut self, msg: IsSilent, _: &mut Context<Self, Self::Reply>) -> bool {
+        self.pool.is_silent(self.clock.now(), msg.0)
+    }
+}
+
 /// The first event of a grant came.
 pub(crate) struct Begun(pub(crate) u64);
 
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -202,13 +202,17 @@
         None
     }
 
-    /// Whether the request may be sent again after an attempt that may have run.
+    /// Whether the request may be sent again after an attempt that may have run; takes a retry from the budget.
     pub(crate) fn may_repeat(&mut self) -> bool {
+        self.can_repeat(self.runs) && self.shared.may_retry()
+    }
+
+    /// Whether the request could be sent again after `runs` attempts that may have run, but for the budget.
+    pub(crate) fn can_repeat(&self, runs: u32) -> bool {
         self.route.repeat.is_repeatable()
-            && self.runs < self.route.attempts
+            && runs < self.route.attempts
             && self.sends < SENDS_MAX
             && Instant::now() < self.deadline
-            && self.shared.may_retry()
     }
 
     fn log_end(&self, reason: Reason) {
--- a/chestnutstage_gateway/src/shared.rs
+++ b/chestnutstage_gateway/src/shared.rs
@@ -79,6 +79,11 @@
         budget.retry(0).is_some()
     }
 
+    /// Whether a retry is left in this instance's share of the budget.
+    pub(crate) fn has_retry(&self) -> bool {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner).has_retry()
+    }
+
     /// Counts a first attempt.
     pub(crate) fn earn_retries(&self) {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner).earn();
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -27,7 +27,7 @@
 /// Longest pauses on time after which a silent stream is taken to another endpoint.
 const SILENT_GAPS: u32 = 3;
 /// Shortest silence that counts as a failure.
-const SILENT_MIN: Duration = Duration::from_secs(1);
+pub(crate) const SILENT_MIN: Duration = Duration::from_secs(1);
 /// Targets without a first event after which another endpoint is tried.
 const SILENT_FIRST: f64 = 2.0;
 /// Times that another endpoint is tried for one silence; then the stream is only waited for.
--- a/chestnutstage_gateway/tests/event_streams.rs
+++ b/chestnutstage_gateway/tests/event_streams.rs
@@ -39,6 +39,18 @@
     assert!(resumed.iter().any(|r| r.contains("last-event-id: 3")), "after the last whole event");
 }
 
+/// An engine that takes a prompt and answers nothing, not even a head; the next one answers.
+#[tokio::test]
+async fn silent_from_the_start() {
+    let backend = Backend::start(vec![Reply::Hang(String::new()), Reply::Bytes(stream(1..=5) + END)]).await;
+    let listings = vec![listing("e1", "llm", backend.address), listing("e2", "llm", backend.address)];
+    let stage = Stage::start(listings).await;
+    let answer = ask(&stage, "/chat/x", "100").await;
+    assert_eq!(answer.text().await.unwrap(), events(1..=5));
+    assert_eq!(backend.seen().len(), 2);
+    backend.closed.notified().await;
+}
+
 #[tokio::test]
 async fn cut_and_not_resumable() {
     let backend = Backend::start(vec![Reply::Cut(stream(1..=3))]).await;
