What bars a second attempt no longer answers for the first, which may have run

Ruled out: the endpoint's own refusal (no line of it); requests that may run once only (they have no second attempt after a run). Change: such a request is answered as one of unknown outcome.

--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -157,6 +157,8 @@
                     }
                 }
                 Attempt::Refused(refusal) => return self.refuse(&refusal),
+                // Its answer says that the request did not run, which holds only for a first attempt.
+                Attempt::Barred(_) if self.runs > 0 => return self.fail(),
                 Attempt::Barred(answer) => return answer,
             }
         }
--- a/chestnutstage_gateway/tests/true_refusals.rs
+++ b/chestnutstage_gateway/tests/true_refusals.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
+use std::time::Duration;
+
+use chestnutstage_gateway::outside::{Fact, Topic};
 use common::backend::{Backend, Reply, answer, success};
-use common::{Stage, listing};
+use common::{Stage, catalog, listing};
 use reqwest::{Method, StatusCode};
 
 async fn once(replies: Vec<Reply>) -> (StatusCode, usize) {
@@ -130,3 +133,21 @@
     let status = stage.status(Method::GET, "/look/x").await;
     assert_eq!(status, StatusCode::BAD_GATEWAY, "it may have run: a refusal would not be true");
 }
+
+/// What bars a second attempt tells nothing about the first, which may have run.
+#[tokio::test]
+async fn barred_after_a_run() {
+    let backend = Backend::start(vec![Reply::Hang(String::new())]).await;
+    let listings = vec![listing("d1", "desk", backend.address), listing("d2", "desk", backend.address)];
+    let stage = Stage::start(listings).await;
+    let sent = tokio::spawn(stage.request(Method::GET, "/look/x").send());
+    while backend.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut next = catalog(2);
+    next.customers[0].keys = vec!["another".into()];
+    stage.book.tell(Topic::Operators, vec![Fact::Catalog(Box::new(next))]);
+    let answer = sent.await.unwrap().unwrap();
+    assert_eq!(answer.status(), StatusCode::BAD_GATEWAY, "unknown, not refused");
+    assert_eq!(backend.seen().len(), 1);
+}
