--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -61,6 +61,8 @@
 /// Worth by which requests of brief work differ in their liking of an engine, for each peer: what the peers placed in the
 /// time that their messages take isn't known, and without a difference all would choose the same engine.
 const SPREAD_PRICE: f64 = 0.002;
+/// Most of that difference: less than what keeps brief work from engines that are meant for bulk work.
+const SPREAD_MAX: f64 = 0.3;
 /// Free memory by which they differ in their liking of a writer, in parts of it.
 const TASTE_LEAD: f64 = 1.0;
 /// Worth of one more request beside others.
@@ -169,7 +171,7 @@
         let work = work_of(costs, demand);
         let unseen = self.unseen();
         let brief_width = brief_width(costs, &open, unseen);
-        let spread = SPREAD_PRICE * self.peers.len() as f64;
+        let spread = (SPREAD_PRICE * self.peers.len() as f64).min(SPREAD_MAX);
         let busy = busy(&open, brief_width);
         let engines = Engines { costs, open, brief_width, unseen, spread, busy };
         match work {
