--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -6,6 +6,7 @@
 //! that this takes on each and the memory that is filled there. From the grants alone follow the work ahead on an
 //! endpoint, its writers and its free memory; [`place`] weighs them.
 
+mod bulk;
 mod load;
 mod place;
 mod plain;
--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -4,7 +4,8 @@
 //! brief writers stalls all of them for a whole pass, so brief work stays on as few engines as it needs, counted from one
 //! end of an order that all instances share, and long work starts from the other end. A long prompt is read by several
 //! engines at once, as many as bring its first event in time and no more. What would come too late is refused at once:
-//! admitting it would make the work behind it late as well.
+//! admitting it would make the work behind it late as well. Here stand what both kinds of work share and the choice for
+//! brief work; [`super::bulk`] chooses for the other kind.
 
 use std::time::Duration;
 
@@ -29,110 +30,62 @@
 const BULK_READS_LIKED: f64 = 250.0;
 /// Reads ahead of each bulk engine at which all its time counts as used, in milliseconds.
 const BUSY_READS: f64 = 500.0;
-/// Worth that a busy engine earns in a second.
-const ENGINE_WORTH: f64 = 8.0;
-/// Share of the requests that are admitted although others would earn more, so that no length is shut out.
-const SPARED: f64 = 0.55;
-/// Part of such a request's worth by which it may fall short.
-const SPARED_LOSS: f64 = 0.6;
-/// Longest wait for the first event of such a request, in targets.
-const LONG_WAIT: f64 = 1.8;
-/// Part of the remaining time that the first event may take.
-const REMAINING_USED: f64 = 0.7;
 /// Slots of an engine that stay free for requests that other instances are placing at the same moment.
 const SPARE_SLOTS: u32 = 1;
 /// Engines that stay free of brief work, in eighths of all.
 const BULK_EIGHTHS: usize = 1;
-/// Numbers of engines that may read a bulk prompt. Two at least: shared parts go before other reads, so that a prompt which
-/// one engine reads alone would wait for all of them. Sixteen at the most may be named, the writer among them.
-const PARTS: [usize; 9] = [2, 3, 4, 5, 6, 8, 10, 13, 16];
 /// Part of the longest pause that a pass may take when a read is planned; the rest covers what is not modelled.
 const GAP_USED: f64 = 0.85;
 /// Part of the target that the first event may take when it is planned.
 const FIRST_USED: f64 = 0.8;
 /// Part of an answer's worth that is lost when it is late.
-const LATE: f64 = 0.75;
-/// Worth that one more engine must save.
-const PART_PRICE: f64 = 0.04;
-/// Worth that a reservation must save.
-const TICKET_PRICE: f64 = 0.06;
-/// Worth by which instances differ in their liking of an engine.
-const TASTE_PRICE: f64 = 0.08;
+pub(super) const LATE: f64 = 0.75;
 /// Worth by which requests of brief work differ in their liking of an engine, for each peer: what the peers placed in the
 /// time that their messages take isn't known, and without a difference all would choose the same engine.
 const SPREAD_PRICE: f64 = 0.002;
 /// Most of that difference: less than what keeps brief work from engines that are meant for bulk work.
 const SPREAD_MAX: f64 = 0.3;
-/// Free memory by which they differ in their liking of a writer, in parts of it.
-const TASTE_LEAD: f64 = 1.0;
 /// Worth of one more request beside others.
 const CROWD_PRICE: f64 = 0.01;
 /// Instances for each known one from which the known grants say too little to keep brief and bulk work apart.
 const BLIND: f64 = 2.0;
 /// Worth of a second of waiting, in parts of the answer's worth.
-const WAIT_PRICE: f64 = 0.1;
+pub(super) const WAIT_PRICE: f64 = 0.1;
 /// Worth lost when brief work goes to an engine that is meant for bulk work.
 const BRIEF_REGION: f64 = 0.6;
-/// Worth lost when a part of bulk work goes to an engine that is meant for brief work.
-const BULK_REGION: f64 = 3.0;
 /// Worth of an answer whose prompt is empty; the users price a long prompt by its length.
 const VALUE_BASE: f64 = 0.7;
 /// Tokens that add one unit of worth.
 const VALUE_TOKENS: f64 = 8_800.0;
-/// Delay of the slowest engine of a shared prompt on busy engines, in milliseconds, by the square of the logarithm of
-/// their number; fitted to the first events of 230 shared prompts.
-const STRAGGLE: f64 = 140.0;
-/// Part of that delay on idle engines.
-const STRAGGLE_IDLE: f64 = 0.4;
 /// Share of an engine's memory that is planned; the rest covers output beyond the estimate.
 const MEMORY_USED: f64 = 0.96;
 
 /// An engine that may take a part of the request.
-struct Candidate<'a> {
-    key: Key,
-    site: &'a Site,
-    load: &'a Load,
-    rank: usize,
-    pace: f64,
+pub(super) struct Candidate<'a> {
+    pub(super) key: Key,
+    pub(super) site: &'a Site,
+    pub(super) load: &'a Load,
+    pub(super) rank: usize,
+    pub(super) pace: f64,
     /// Length of a pass with one more request and without reads, in milliseconds.
-    pass: f64,
+    pub(super) pass: f64,
     /// Number between zero and one by which instances that choose at the same moment differ.
-    taste: f64,
+    pub(super) taste: f64,
     /// The same for requests.
-    chance: f64,
+    pub(super) chance: f64,
 }
 
 /// Engines of one service, and how many of them are meant for brief work.
-struct Engines<'a> {
-    costs: &'a Costs,
-    open: Vec<Candidate<'a>>,
-    brief_width: usize,
+pub(super) struct Engines<'a> {
+    pub(super) costs: &'a Costs,
+    pub(super) open: Vec<Candidate<'a>>,
+    pub(super) brief_width: usize,
     /// Instances for each one whose grants are known.
-    unseen: f64,
+    pub(super) unseen: f64,
     /// Worth by which requests of brief work differ in their liking of an engine.
-    spread: f64,
+    pub(super) spread: f64,
     /// Part of the bulk engines' time that is used, from zero to one.
-    busy: f64,
-}
-
-/// What a part of bulk work costs on an engine.
-#[derive(Clone, Copy)]
-struct Rated {
-    /// Worth that others lose, and what the choice of the engine costs besides.
-    side: f64,
-    /// The same with what is lost by waiting.
-    cost: f64,
-    first: f64,
-    index: usize,
-}
-
-/// A way to place a request and what it costs.
-struct Plan {
-    cost: f64,
-    first: f64,
-    /// Worth that others lose.
-    side: f64,
-    parts: Vec<usize>,
+    pub(super) busy: f64,
 }
 
 impl Pool {
@@ -217,52 +170,52 @@
     ((f64::from(costs.slots) * part) as u32).max(1)
 }
 
-fn millis(duration: Duration) -> f64 {
+pub(super) fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1e3
 }
 
-fn too_late(demand: &Demand<'_>, first: f64) -> Refusal {
+pub(super) fn too_late(demand: &Demand<'_>, first: f64) -> Refusal {
     let wait = (first - millis(demand.first)).max(0.0);
     Refusal::new(Cause::TooLate, Duration::from_secs_f64(wait / 1e3), demand.jitter)
 }
 
 /// Worth of an answer in relation to others.
-fn value_of(demand: &Demand<'_>) -> f64 {
+pub(super) fn value_of(demand: &Demand<'_>) -> f64 {
     VALUE_BASE + demand.tokens as f64 / VALUE_TOKENS
 }
 
 impl Engines<'_> {
     /// Time until a read that is granted now is done and its first event is out, in milliseconds.
-    fn first(candidate: &Candidate<'_>, read: f64) -> f64 {
+    pub(super) fn first(candidate: &Candidate<'_>, read: f64) -> f64 {
         let Candidate { load, pass, pace, .. } = candidate;
         let current = if load.held > 0 { pass / 2.0 } else { 0.0 };
         (current + load.ahead(read) + read + pass) * pace
     }
 
     /// Worth lost by the writers at an engine in the pass that reads `read` more.
-    fn damage(candidate: &Candidate<'_>, read: f64) -> f64 {
+    pub(super) fn damage(candidate: &Candidate<'_>, read: f64) -> f64 {
         let pass = candidate.pass + candidate.load.backlog;
         let factor = candidate.pace / GAP_USED;
         LATE * candidate.load.added_loss(pass * factor, (pass + read) * factor)
     }
 
     /// Worth of the request that is lost when its first event takes `first` and a pass after it `pass` milliseconds.
-    fn lateness(demand: &Demand<'_>, first: f64, pass: f64) -> f64 {
+    pub(super) fn lateness(demand: &Demand<'_>, first: f64, pass: f64) -> f64 {
         let value = value_of(demand);
         let late = first > FIRST_USED * millis(demand.first) || pass > GAP_USED * millis(demand.gap);
         WAIT_PRICE * value * first / 1e3 + if late { LATE * value } else { 0.0 }
     }
 
     /// Longest pass of an engine while its reads and one of `read` milliseconds are done.
-    fn longest_pass(candidate: &Candidate<'_>, read: f64) -> f64 {
+    pub(super) fn longest_pass(candidate: &Candidate<'_>, read: f64) -> f64 {
         (candidate.pass + candidate.load.backlog + read) * candidate.pace
     }
 
-    fn has_slot(&self, candidate: &Candidate<'_>) -> bool {
+    pub(super) fn has_slot(&self, candidate: &Candidate<'_>) -> bool {
         candidate.load.held + SPARE_SLOTS < candidate.site.listing.slots.min(self.costs.slots).max(2)
     }
 
-    fn free(&self, candidate: &Candidate<'_>) -> u64 {
+    pub(super) fn free(&self, candidate: &Candidate<'_>) -> u64 {
         let planned = (self.costs.memory as f64 * MEMORY_USED) as u64;
         planned.saturating_sub(candidate.load.memory)
     }
@@ -294,131 +247,8 @@
         Ok(self.placed(now, demand, Work::Brief, vec![part], first, Vec::new(), 0))
     }
 
-    fn place_bulk(&self, now: Time, demand: &Demand<'_>) -> Result<Granting, Refusal> {
-        let most = self.open.len();
-        let mut rated = Vec::with_capacity(most);
-        let plans = PARTS.iter().filter_map(|&parts| self.plan(demand, parts.min(most), &mut rated));
-        let Some(plan) = plans.min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
-            return Err(Refusal::new(Cause::NoMemory, Duration::from_secs(1), demand.jitter));
-        };
-        let gain = self.gain(demand, &plan);
-        let spared = demand.jitter < SPARED
-            && plan.first < LONG_WAIT * millis(demand.first)
-            && gain > -SPARED_LOSS * value_of(demand);
-        if plan.first > REMAINING_USED * millis(demand.remaining) || (gain < 0.0 && !spared) {
-            return Err(too_late(demand, plan.first));
-        }
-        let chosen: Vec<&Candidate<'_>> = plan.parts.iter().map(|&i| &self.open[i]).collect();
-        let Some(memory) = self.spread(&chosen, demand) else {
-            return Err(Refusal::new(Cause::NoMemory, Duration::from_secs(1), demand.jitter));
-        };
-        let count = chosen.len() as u32;
-        let read = self.costs.read(demand.tokens, count) as f32;
-        let context = (demand.tokens / u64::from(count)) as u32;
-        let parts = chosen
-            .iter()
-            .zip(&memory)
-            .map(|(c, m)| Part {
-                endpoint: c.key,
-                read,
-                memory: *m as u32,
-                context: if *m > 0 { context } else { 0 },
-            })
-            .collect();
-        let tickets = memory[1..].iter().any(|m| *m > 0);
-        let helpers = chosen[1..].iter().zip(&memory[1..]);
-        let helpers = helpers
-            .map(|(c, m)| Helper { key: c.key, address: c.site.listing.address, reserve: *m })
-            .collect();
-        let reserve = if tickets { memory[0] } else { 0 };
-        Ok(self.placed(now, demand, Work::Bulk, parts, plan.first, helpers, reserve))
-    }
-
-    /// Worth that is won by admitting a request: its own, less what others lose by it and what the engines could do in
-    /// the time, which counts by how much they have ahead.
-    fn gain(&self, demand: &Demand<'_>, plan: &Plan) -> f64 {
-        let late = plan.first > millis(demand.first);
-        let own = value_of(demand) * if late { 1.0 - LATE } else { 1.0 };
-        let work = self.costs.read(demand.tokens, 1) / 1e3;
-        own - plan.side - work * ENGINE_WORTH * self.busy
-    }
-
-    /// The best choice of `parts` engines, the writer first. `rated` is room to work in.
-    fn plan(&self, demand: &Demand<'_>, parts: usize, rated: &mut Vec<Rated>) -> Option<Plan> {
-        let read = self.costs.read(demand.tokens, parts as u32);
-        let wait = WAIT_PRICE * value_of(demand) / 1e3;
-        rated.clear();
-        rated.extend(self.open.iter().enumerate().map(|(index, c)| {
-            let first = Self::first(c, read);
-            let region = if c.rank < self.brief_width { BULK_REGION } else { 0.0 };
-            let side = Self::damage(c, read) + region + TASTE_PRICE * c.taste;
-            Rated { side, cost: side + wait * first, first, index }
-        }));
-        if parts < rated.len() {
-            rated.select_nth_unstable_by(parts, |a, b| a.cost.total_cmp(&b.cost));
-            rated.truncate(parts);
-        }
-        let first = rated.iter().map(|r| r.first).fold(0.0, f64::max) + self.straggle(parts);
-        let side: f64 = rated.iter().map(|r| r.side).sum();
-        let mut parts: Vec<usize> = rated.iter().map(|r| r.index).collect();
-        let needed = demand.tokens + demand.output;
-        self.lead_first(&mut parts, needed)?;
-        let pass = Self::longest_pass(&self.open[parts[0]], read);
-        let tickets = if self.free(&self.open[parts[0]]) < needed { TICKET_PRICE } else { 0.0 };
-        let price = (PART_PRICE + tickets) * parts.len() as f64;
-        let cost = Self::lateness(demand, first, pass) + side + price;
-        let room: u64 = parts.iter().map(|&i| self.free(&self.open[i])).sum();
-        (room >= needed).then_some(Plan { cost, first, side, parts })
-    }
-
-    /// Time by which the slowest of `parts` engines is later than forecast: each is delayed by what is placed there
-    /// meanwhile, and the first event waits for all of them.
-    fn straggle(&self, parts: usize) -> f64 {
-        let spread = (parts as f64).ln();
-        STRAGGLE * spread * spread * (STRAGGLE_IDLE + (1.0 - STRAGGLE_IDLE) * self.busy)
-    }
-
-    /// Puts the writer first: an engine with a slot and much free memory. Instances that choose at the same moment differ
-    /// among those with enough of it, so that one engine is not promised twice.
-    fn lead_first(&self, parts: &mut [usize], needed: u64) -> Option<()> {
-        let liking = |p: usize| {
-            let candidate = &self.open[parts[p]];
-            let free = self.free(candidate);
-            let taste = if free >= needed { candidate.taste } else { 0.0 };
-            free as f64 * (1.0 + TASTE_LEAD * taste)
-        };
-        let lead = (0..parts.len())
-            .filter(|&p| self.has_slot(&self.open[parts[p]]))
-            .max_by(|&a, &b| liking(a).total_cmp(&liking(b)))?;
-        parts.swap(0, lead);
-        Some(())
-    }
-
-    /// Memory to fill at each engine: all at the writer if it fits there.
-    fn spread(&self, chosen: &[&Candidate<'_>], demand: &Demand<'_>) -> Option<Vec<u64>> {
-        let needed = demand.tokens + demand.output;
-        let mut memory = vec![0; chosen.len()];
-        let lead = self.free(chosen[0]);
-        if lead >= needed {
-            memory[0] = needed;
-            return Some(memory);
-        }
-        let mut rest = needed;
-        let even = needed.div_ceil(chosen.len() as u64);
-        for (slot, c) in memory.iter_mut().zip(chosen) {
-            *slot = even.min(self.free(c)).min(rest);
-            rest -= *slot;
-        }
-        for (slot, c) in memory.iter_mut().zip(chosen) {
-            let more = rest.min(self.free(c) - *slot);
-            *slot += more;
-            rest -= more;
-        }
-        (rest == 0).then_some(memory)
-    }
-
     #[expect(clippy::too_many_arguments, reason = "the parts of a placement, put together in one place")]
-    fn placed(
+    pub(super) fn placed(
         &self,
         now: Time,
         demand: &Demand<'_>,
--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -29,9 +29,10 @@
 use crate::exchange::Exchange;
 use crate::headers::text;
 use crate::shared::Shared;
-use crate::stream::SILENT_MIN;
 use crate::tickets::{Tickets, Wanted};
 
+/// Shortest silence that counts as a failure.
+pub(crate) const SILENT_MIN: Duration = Duration::from_secs(1);
 /// Targets for which a request waits for the head of its answer before it is sent to another endpoint.
 const PATIENCE: f64 = 2.0;
 /// Time after which it thinks of that again.
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod logging;
 pub mod outside;
 mod peers;
+mod questions;
 pub mod settings;
 mod shared;
 mod stream;
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -23,7 +23,7 @@
 
 use crate::dispatcher::{Heard, PeerLeft, Tell};
 use crate::identity::{LinkError, NAME, configs};
-use crate::knowledge::{Extract, Mark};
+use crate::knowledge::Mark;
 use crate::outside::{Member, Topic};
 use crate::shared::Shared;
 
@@ -41,11 +41,7 @@
 /// Time in which grants gather for one message.
 const GATHER: Duration = Duration::from_millis(3);
 /// Largest message, in bytes.
-const MESSAGE_MAX: usize = 4 << 20;
-/// Largest question, in bytes: the name of a topic.
-const QUESTION_MAX: usize = 64;
-/// Time limit of a question to a peer.
-const ASK_LIMIT: Duration = Duration::from_millis(500);
+pub(crate) const MESSAGE_MAX: usize = 4 << 20;
 /// Instances that follow the store for all. Were the store to turn a third of them away, a known trouble, all of eight
 /// would be hit once in 6,500 times; each more is priced like any other caller of the store.
 const FOLLOWERS: usize = 8;
@@ -77,11 +73,12 @@
 
 /// Links to the other instances.
 pub(crate) struct Peers {
-    shared: Arc<Shared>,
+    pub(crate) shared: Arc<Shared>,
     endpoint: Endpoint,
     life: u64,
     open: Mutex<BTreeMap<InstanceId, Peer>>,
-    asking: Mutex<BTreeSet<Topic>>,
+    /// Topics of which a peer is being asked.
+    pub(crate) asking: Mutex<BTreeSet<Topic>>,
 }
 
 impl Peers {
@@ -272,46 +269,6 @@
         self.shared.knowledge.set_duty(duty);
     }
 
-    /// Asks a peer for all that it knows of a topic, one peer at a time.
-    fn ask(self: &Arc<Self>, topic: Topic, connection: &Connection) {
-        if !self.asked().insert(topic) {
-            return;
-        }
-        let (peers, connection) = (self.clone(), connection.clone());
-        tokio::spawn(async move {
-            let asked = peers.shared.clock.now();
-            match timeout(ASK_LIMIT, ask_topic(&connection, topic)).await {
-                Ok(Ok(extract)) => peers.shared.knowledge.take_extract(extract, asked).await,
-                Ok(Err(e)) => info!(topic:%; "a peer did not tell what it knows: {e}"),
-                Err(_) => info!(topic:%; "a peer did not tell what it knows in time"),
-            }
-            peers.asked().remove(&topic);
-        });
-    }
-
-    fn asked(&self) -> MutexGuard<'_, BTreeSet<Topic>> {
-        self.asking.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    async fn tell_topic(self: Arc<Self>, send: quinn::SendStream, receive: quinn::RecvStream) {
-        if let Err(e) = self.answer(send, receive).await {
-            debug!("a peer's question: {e}");
-        }
-    }
-
-    async fn answer(
-        &self,
-        mut send: quinn::SendStream,
-        mut receive: quinn::RecvStream,
-    ) -> Result<(), String> {
-        let question = receive.read_to_end(QUESTION_MAX).await.map_err(|e| e.to_string())?;
-        let topic = postcard::from_bytes(&question).map_err(|e| e.to_string())?;
-        let extract = self.shared.knowledge.extract(topic).ok_or("nothing is known yet")?;
-        let bytes = postcard::to_stdvec(&extract).map_err(|e| e.to_string())?;
-        send.write_all(&bytes).await.map_err(|e| e.to_string())?;
-        send.finish().map_err(|e| e.to_string())
-    }
-
     async fn state(&self) -> Option<Bytes> {
         let snapshot = self.shared.dispatcher.ask(Tell).await.ok()??;
         let knowledge = &self.shared.knowledge;
@@ -413,12 +370,3 @@
         }
     });
 }
-
-async fn ask_topic(connection: &Connection, topic: Topic) -> Result<Extract, String> {
-    let (mut send, mut receive) = connection.open_bi().await.map_err(|e| e.to_string())?;
-    let question = postcard::to_stdvec(&topic).map_err(|e| e.to_string())?;
-    send.write_all(&question).await.map_err(|e| e.to_string())?;
-    send.finish().map_err(|e| e.to_string())?;
-    let bytes = receive.read_to_end(MESSAGE_MAX).await.map_err(|e| e.to_string())?;
-    postcard::from_bytes(&bytes).map_err(|e| e.to_string())
-}
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -19,15 +19,13 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::Answer;
-use crate::attempt::{Attempt, Upstream, until_gone};
+use crate::attempt::{Attempt, SILENT_MIN, Upstream, until_gone};
 use crate::dispatcher::Begun;
 use crate::exchange::Exchange;
 use crate::headers::drop_own;
 
 /// Longest pauses on time after which a silent stream is taken to another endpoint.
 const SILENT_GAPS: u32 = 3;
-/// Shortest silence that counts as a failure.
-pub(crate) const SILENT_MIN: Duration = Duration::from_secs(1);
 /// Targets without a first event after which another endpoint is tried.
 const SILENT_FIRST: f64 = 2.0;
 /// Times that another endpoint is tried for one silence; then the stream is only waited for.
