The choice of who asks an engine uses the shared one; the liking of a request is worked out for brief work only

Cause: reading the change again. watch.rs weighed hashes for itself where rendezvous::is_among does it; a bulk prompt hashed each engine twice and used one; the test for silent engines was written twice. Change: is_among(1, …), the same answer as before; the second hash only for brief work; one test. No change of behaviour.

--- a/chestnutstage_core/src/pool/bulk.rs
+++ b/chestnutstage_core/src/pool/bulk.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use super::Part;
-use super::Work;
 use super::place::{Cause, Demand, Granting, Helper, Refusal};
 use super::prompt::{Candidate, Engines, LATE, WAIT_PRICE, millis, too_late, value_of};
+use super::{Part, Work};
 use crate::time::Time;
 
 /// Worth that a busy engine earns in a second.
--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -71,7 +71,7 @@
     pub(super) pass: f64,
     /// Number between zero and one by which instances that choose at the same moment differ.
     pub(super) taste: f64,
-    /// The same for requests.
+    /// The same for requests of brief work.
     pub(super) chance: f64,
 }
 
@@ -104,13 +104,15 @@
         loads: &Loads,
     ) -> Result<Granting, Refusal> {
         let idle = Load::default();
+        let work = work_of(costs, demand);
         let open = self.open_sites(now, demand);
         let mut open: Vec<_> = open
             .into_iter()
             .map(|(rank, key, site)| {
                 let load = loads.get(&key).unwrap_or(&idle);
                 let pass = costs.pass(load.held + 1, load.context);
-                let (taste, chance) = (self.taste(key, 0), self.taste(key, self.next + 1));
+                let taste = self.taste(key, 0);
+                let chance = if work == Work::Brief { self.taste(key, self.next + 1) } else { 0.0 };
                 Candidate { key, site, load, rank, pace: site.pace(now), pass, taste, chance }
             })
             .collect();
@@ -118,10 +120,10 @@
             return Err(Refusal::new(Cause::NoEndpoint, RETRY_MIN, demand.jitter));
         }
         // A silent engine looks idle and would get ever more.
-        if open.iter().any(|c| !c.load.is_silent(UNANSWERED_MAX)) {
-            open.retain(|c| !c.load.is_silent(UNANSWERED_MAX));
+        let answers = |c: &Candidate<'_>| !c.load.is_silent(UNANSWERED_MAX);
+        if open.iter().any(answers) {
+            open.retain(answers);
         }
-        let work = work_of(costs, demand);
         let unseen = self.unseen();
         let brief_width = brief_width(costs, &open, unseen);
         let spread = (SPREAD_PRICE * self.peers.len() as f64).min(SPREAD_MAX);
--- a/chestnutstage_gateway/src/watch.rs
+++ b/chestnutstage_gateway/src/watch.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutstage_core::ids::InstanceId;
 use chestnutstage_core::pool::{Key, Listing};
 use chestnutstage_core::rendezvous;
 use log::{info, warn};
@@ -32,9 +31,9 @@
     let mut misses: HashMap<Key, u32> = HashMap::new();
     loop {
         let engines = shared.dispatcher.ask(ListEngines).await.unwrap_or_default();
-        let mut instances = peers.linked();
-        instances.push(shared.settings.instance.name.clone());
-        let own: Vec<_> = engines.into_iter().filter(|(_, l)| is_mine(&shared, &instances, l)).collect();
+        let (me, others) = (&shared.settings.instance.name, peers.linked());
+        let is_mine = |l: &Listing| rendezvous::is_among(1, l.id.as_str(), me, &others);
+        let own: Vec<_> = engines.into_iter().filter(|(_, l)| is_mine(l)).collect();
         misses.retain(|key, _| own.iter().any(|(k, _)| k == key));
         let pause = INTERVAL / own.len().max(1) as u32;
         for (key, listing) in own {
@@ -47,12 +46,6 @@
     }
 }
 
-fn is_mine(shared: &Shared, instances: &[InstanceId], listing: &Listing) -> bool {
-    let weight = |id: &InstanceId| rendezvous::score(listing.id.as_str(), id);
-    let mine = weight(&shared.settings.instance.name);
-    instances.iter().all(|id| weight(id) <= mine)
-}
-
 async fn look(shared: &Shared, key: Key, listing: &Listing, misses: &mut u32) {
     counter!("chestnutstage_reports_total").increment(1);
     let report = match timeout(LIMIT, shared.adapters.engines.report(listing.address)).await {
