One set of engine costs for the tests and benches, one check of served kinds in the replays

Cause: three copies of an engine's costs, two of them rounded, and two replays that spelt out the same checks. Change: tests/common/costs.rs holds the costs that the users publish; assert_served holds the two checks, as strict as before.

--- a/chestnutstage_core/benches/decisions.rs
+++ b/chestnutstage_core/benches/decisions.rs
@@ -2,12 +2,14 @@
 //!
 //! `cargo bench --bench decisions` measures with criterion, then fails if the median of a decision crosses its bound.
 
+#[path = "../tests/common/costs.rs"]
+mod costs;
+
 use std::collections::BTreeSet;
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
 use chestnutstage_core::endpoint::{Endpoint, Kind, Report, Size, Speed};
-use chestnutstage_core::engine::Costs;
 use chestnutstage_core::ids::{BootId, InstanceId, ModelId, RequestId, Ticket, ZoneId};
 use chestnutstage_core::length::{Class, Tokens};
 use chestnutstage_core::members::ModelSet;
@@ -16,6 +18,7 @@
 use chestnutstage_core::route::{Peer, Router};
 use chestnutstage_core::time::Time;
 use chestnutstage_core::window::{Capacity, Load};
+use costs::COSTS;
 use criterion::{BatchSize, BenchmarkId, Criterion};
 
 /// Bound on one routing decision among [`ROUTED`] candidates.
@@ -92,21 +95,9 @@
 
 /// Engines with eight brief grants each, as all instances together would have them.
 fn pool(engines: usize) -> Pool {
-    let costs = Costs {
-        step: 1.02,
-        writer: 0.002,
-        context: 0.004,
-        rate: 206.0,
-        pairs: 0.138,
-        chunk: 2_048,
-        stride: 43,
-        slots: 16,
-        memory: 232_000,
-        hop: 0.075,
-    };
     let mut pool = Pool::new("a".into(), 1);
     pool.set_instances(1);
-    pool.set_service(model(), Some(costs), 0.0);
+    pool.set_service(model(), Some(COSTS), 0.0);
     for i in 0..engines {
         let listing = Listing {
             id: format!("e{i}").as_str().into(),
--- a/chestnutstage_core/tests/common/engines.rs
+++ b/chestnutstage_core/tests/common/engines.rs
@@ -3,21 +3,10 @@
 //! An engine works in passes: it admits what waits while slots are free, reads the waiting prompts, and gives each writer
 //! one event at the end of the pass. A prompt that it reads alone is written in the same pass.
 
-use chestnutstage_core::engine::Costs;
+pub use costs::COSTS;
 
-/// Costs that the users publish for their engines.
-pub const COSTS: Costs = Costs {
-    step: 1.02,
-    writer: 0.002_26,
-    context: 0.004_31,
-    rate: 206.0,
-    pairs: 0.138,
-    chunk: 2_048,
-    stride: 43,
-    slots: 16,
-    memory: 232_000,
-    hop: 0.075,
-};
+#[path = "costs.rs"]
+mod costs;
 
 /// Work of one request on one engine.
 #[derive(Debug, Clone)]
--- a/chestnutstage_core/tests/load_replay.rs
+++ b/chestnutstage_core/tests/load_replay.rs
@@ -236,6 +236,15 @@
 /// Least share of each kind's worth that the users accept on a day.
 const FLOOR: f64 = 0.4;
 
+/// Brief prompts meet their target, and every kind has its floor.
+fn assert_served(tallies: &BTreeMap<Kind, Tally>) {
+    let brief = tallies[&Kind::Brief];
+    assert!(share(brief.first_on_time, brief.asked) >= FIRST_ON_TIME, "{brief:?}");
+    for (kind, tally) in tallies {
+        assert!(share(tally.on_time, tally.asked) >= FLOOR, "{kind:?}: {tally:?}");
+    }
+}
+
 #[test]
 fn brief_burst() {
     let mut world = World::new(9, 18, 1);
@@ -249,12 +258,7 @@
 fn archive_burst() {
     let mut world = World::new(9, 18, 2);
     world.run(20, |_| [(Kind::Brief, 12.0), (Kind::Middle, 2.3), (Kind::Archive, 3.5)]);
-    let tallies = world.tallies();
-    let brief = tallies[&Kind::Brief];
-    assert!(share(brief.first_on_time, brief.asked) >= FIRST_ON_TIME, "{brief:?}");
-    for (kind, tally) in tallies {
-        assert!(share(tally.on_time, tally.asked) >= FLOOR, "{kind:?}: {tally:?}");
-    }
+    assert_served(&world.tallies());
 }
 
 #[test]
@@ -265,12 +269,7 @@
         let (brief, middle, archive) = if long { (12.0, 2.3, 3.5) } else { (77.0, 0.9, 0.07) };
         [(Kind::Brief, brief), (Kind::Middle, middle), (Kind::Archive, archive)]
     });
-    let tallies = world.tallies();
-    let brief = tallies[&Kind::Brief];
-    assert!(share(brief.first_on_time, brief.asked) >= FIRST_ON_TIME, "{brief:?}");
-    for (kind, tally) in tallies {
-        assert!(share(tally.on_time, tally.asked) >= FLOOR, "{kind:?}: {tally:?}");
-    }
+    assert_served(&world.tallies());
 }
 
 /// More than the engines can do: what is admitted is mostly on time, the rest is refused at once.
--- a/chestnutstage_core/tests/pass_costs.rs
+++ b/chestnutstage_core/tests/pass_costs.rs
@@ -1,10 +1,9 @@
 //! Time that an engine takes, by its published costs.
 
-#[path = "common/engines.rs"]
-#[allow(dead_code, reason = "each test file uses a part of it")]
-mod engines;
+#[path = "common/costs.rs"]
+mod costs;
 
-use engines::COSTS;
+use costs::COSTS;
 
 #[test]
 fn lone_writer() {
--- a/chestnutstage_core/tests/placement.rs
+++ b/chestnutstage_core/tests/placement.rs
@@ -1,9 +1,8 @@
 //! Placement of single requests on a known load.
 
 mod common;
-#[path = "common/engines.rs"]
-#[allow(dead_code, reason = "each test file uses a part of it")]
-mod engines;
+#[path = "common/costs.rs"]
+mod costs;
 
 use std::time::Duration;
 
@@ -11,7 +10,7 @@
 use chestnutstage_core::pool::{Cause, Demand, Key, Listing, Placement, Pool, RELISTING, Refusal, SILENCE};
 use chestnutstage_core::time::Time;
 use common::at;
-use engines::COSTS;
+use costs::COSTS;
 
 const LLM: &str = "llm";
 const DESK: &str = "desk";
--- a/chestnutstage_gateway/tests/common/mod.rs
+++ b/chestnutstage_gateway/tests/common/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod backend;
+#[path = "../../../chestnutstage_core/tests/common/costs.rs"]
+mod costs;
 pub mod outside;
 
 use std::collections::BTreeMap;
@@ -13,13 +15,13 @@
 use chestnutstage_core::catalog::{
     Account, CallerLimits, Catalog, ColdRate, Repeat, Route, ServiceSpec, Share, Target,
 };
-use chestnutstage_core::engine::Costs;
 use chestnutstage_core::pool::Listing;
 use chestnutstage_gateway::outside::{Fact, Topic};
 use chestnutstage_gateway::settings::{Bounds, InstanceSettings, Listen, Settings, Store};
 use chestnutstage_gateway::{Adapters, Gateway};
 use reqwest::{Client, Method, RequestBuilder, StatusCode};
 
+use self::costs::COSTS;
 use self::outside::{Book, Desk, Words};
 
 pub const KEY: &str = "key-of-town";
@@ -33,21 +35,6 @@
     pub http: Client,
 }
 
-pub fn costs() -> Costs {
-    Costs {
-        step: 1.0,
-        writer: 0.002,
-        context: 0.004,
-        rate: 206.0,
-        pairs: 0.138,
-        chunk: 2_048,
-        stride: 43,
-        slots: 16,
-        memory: 232_000,
-        hop: 0.1,
-    }
-}
-
 pub fn route(name: &str, repeat: Repeat, service: &str) -> Route {
     Route {
         name: name.into(),
@@ -65,7 +52,7 @@
 
 pub fn catalog(version: u64) -> Catalog {
     let desk = ServiceSpec { connections: 100, cold: ColdRate::default(), engine: None };
-    let llm = ServiceSpec { engine: Some(costs()), ..desk.clone() };
+    let llm = ServiceSpec { engine: Some(COSTS), ..desk.clone() };
     let routes = vec![
         route("look", Repeat::Idempotent, "desk"),
         route("book", Repeat::Once, "desk"),
