Log lines and the TLS of links stand once, for both daemons

Cause: reading the change again. The gateway wrote for itself the field writer and format of log lines, and the TLS configurations of links, which the product's own daemon had. Ruled out: the clocks, which differ (one goes on while the machine is suspended, the other is the runtime's). Change: crate chestnutstage_daemon with both; protocol name and limits of a link stay with each daemon. The own daemon still logs to standard error, the gateway to standard output through its queue. The gateway's start error says more exactly what is wrong.

--- a/chestnutstage/src/lib.rs
+++ b/chestnutstage/src/lib.rs
@@ -23,7 +23,6 @@
 mod instance;
 mod journal;
 pub mod link;
-pub mod logging;
 mod memory;
 mod operator;
 mod owners;
--- a/chestnutstage/src/link/mod.rs
+++ b/chestnutstage/src/link/mod.rs
@@ -17,8 +17,6 @@
 use self::message::{EntryWord, OwnerWord, Reply, Request, Target};
 
 pub(crate) use self::quic::QuicLink;
-pub(crate) use self::tls::Identity;
-pub use self::tls::TlsError;
 
 /// What was being done with a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
--- a/chestnutstage/src/link/quic.rs
+++ b/chestnutstage/src/link/quic.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use chestnutstage_core::ids::{InstanceId, Ticket};
 use chestnutstage_core::owner::{Ask, End};
+use chestnutstage_daemon::tls::{Identity, TlsError};
 use futures::future::BoxFuture;
 use futures::{FutureExt, SinkExt, StreamExt};
 use log::{debug, warn};
@@ -23,7 +24,7 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use super::message::{self, EntryWord, OwnerWord, Reply, Request, Target};
-use super::tls::{self, Identity, TlsError};
+use super::tls;
 use super::{Bound, Conversation, Handler, LinkError, PeerLink, Step};
 
 /// Largest message, in bytes.
@@ -54,8 +55,9 @@
     /// The certificates can't be used, or the address can't be bound.
     pub(crate) fn bind(me: InstanceId, identity: &Identity, address: SocketAddr) -> Result<Self, TlsError> {
         let failed = |e: std::io::Error| TlsError::Authority(format!("bind of {address}: {e}"));
-        let mut endpoint = Endpoint::server(identity.server()?, address).map_err(failed)?;
-        endpoint.set_default_client_config(identity.client()?);
+        let mut endpoint =
+            Endpoint::server(identity.server(tls::ALPN, tls::transport())?, address).map_err(failed)?;
+        endpoint.set_default_client_config(identity.client(tls::ALPN, tls::transport())?);
         Ok(Self { me, endpoint, connections: Mutex::default() })
     }
 
--- a/chestnutstage/src/main.rs
+++ b/chestnutstage/src/main.rs
@@ -2,9 +2,10 @@
 
 use std::process::ExitCode;
 
+use chestnutstage::Instance;
 use chestnutstage::cli::Cli;
-use chestnutstage::{Instance, logging};
 use chestnutstage_config::settings::Settings;
+use chestnutstage_daemon::logging::{self, Output};
 use clap::Parser;
 use log::error;
 use tokio::signal::unix::{SignalKind, signal};
@@ -23,7 +24,10 @@
         println!("{}: the settings are valid", cli.settings.display());
         return ExitCode::SUCCESS;
     }
-    logging::start(settings.instance.id.as_str());
+    if let Err(e) = logging::start(settings.instance.id.as_str(), Output::StandardError) {
+        eprintln!("chestnutstage: logs: {e}");
+        return ExitCode::FAILURE;
+    }
     let instance = match Instance::start(settings).await {
         Ok(instance) => instance,
         Err(e) => {
--- a/chestnutstage_gateway/src/logging.rs
+++ b/chestnutstage_daemon/src/logging.rs
@@ -1,6 +1,4 @@
-//! Log lines on standard output, through a bounded queue.
-//!
-//! A full queue drops lines and counts them; no request ever waits for a log.
+//! Log lines with key-value fields.
 
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
@@ -12,6 +10,15 @@
 /// Lines that wait to be written, at the most.
 const QUEUE: usize = 2_048;
 
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Output {
+    /// To standard error, each before the code goes on.
+    StandardError,
+    /// To standard output, through a bounded queue: a full one drops lines and counts them, and no request waits for a log.
+    Queue,
+}
+
 /// Writes the fields of a log line.
 struct Fields<'a>(&'a mut dyn Write);
 
@@ -42,12 +49,14 @@
 /// # Errors
 ///
 /// The writing thread can't be started.
-pub fn start(instance: &str) -> io::Result<()> {
-    let (queue, lines) = sync_channel(QUEUE);
-    std::thread::Builder::new().name("log".into()).stack_size(64 << 10).spawn(move || write_lines(&lines))?;
+pub fn start(instance: &str, output: Output) -> io::Result<()> {
+    let target = match output {
+        Output::StandardError => Target::Stderr,
+        Output::Queue => Target::Pipe(Box::new(start_queue()?)),
+    };
     let name = instance.to_owned();
     env_logger::Builder::from_env(Env::new().filter_or("CHESTNUTSTAGE_LOG", "info"))
-        .target(Target::Pipe(Box::new(Queue(queue))))
+        .target(target)
         .format(move |buffer, record| {
             let time = buffer.timestamp_millis();
             write!(buffer, "{time} {:5} {name} {}", record.level(), record.args())?;
@@ -58,6 +67,12 @@
     Ok(())
 }
 
+fn start_queue() -> io::Result<Queue> {
+    let (queue, lines) = sync_channel(QUEUE);
+    std::thread::Builder::new().name("log".into()).stack_size(64 << 10).spawn(move || write_lines(&lines))?;
+    Ok(Queue(queue))
+}
+
 fn write_lines(lines: &Receiver<Vec<u8>>) {
     let mut out = io::stdout().lock();
     while let Ok(line) = lines.recv() {
--- a/chestnutstage_gateway/src/identity.rs
+++ b/chestnutstage_gateway/src/identity.rs
@@ -6,12 +6,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use chestnutstage_daemon::tls::{Identity, TlsError};
 use quinn::{ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt};
-use rustls::RootCertStore;
-use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
-use rustls::server::WebPkiClientVerifier;
 use thiserror::Error;
 
 /// Name that the shared certificate is made out to.
@@ -26,9 +22,12 @@
 /// Why links can't be set up.
 #[derive(Debug, Error)]
 pub enum LinkError {
-    /// The certificate can't be made or read.
+    /// The certificate can't be made.
     #[error("certificate: {0}")]
-    Certificate(String),
+    Certificate(#[from] rcgen::Error),
+    /// The certificate can't be used.
+    #[error(transparent)]
+    Tls(#[from] TlsError),
     /// The port can't be bound.
     #[error("bind of {address}: {source}")]
     Bind {
@@ -45,8 +44,7 @@
 ///
 /// [`LinkError::Certificate`] if the key can't be made.
 pub(crate) fn fresh_identity() -> Result<String, LinkError> {
-    let made = rcgen::generate_simple_self_signed(vec![NAME.to_owned()]);
-    let made = made.map_err(|e| LinkError::Certificate(e.to_string()))?;
+    let made = rcgen::generate_simple_self_signed(vec![NAME.to_owned()])?;
     Ok(format!("{}{}", made.cert.pem(), made.signing_key.serialize_pem()))
 }
 
@@ -61,37 +59,8 @@
 ///
 /// # Errors
 ///
-/// [`LinkError::Certificate`] if the identity can't be used.
+/// [`LinkError::Tls`] if the identity can't be used.
 pub(crate) fn configs(identity: &str) -> Result<(ServerConfig, ClientConfig), LinkError> {
-    let failed = |e: &dyn std::fmt::Display| LinkError::Certificate(e.to_string());
-    let certificate = CertificateDer::from_pem_slice(identity.as_bytes()).map_err(|e| failed(&e))?;
-    let key = PrivateKeyDer::from_pem_slice(identity.as_bytes()).map_err(|e| failed(&e))?;
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let mut roots = RootCertStore::empty();
-    roots.add(certificate.clone()).map_err(|e| failed(&e))?;
-    let roots = Arc::new(roots);
-    let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone())
-        .build()
-        .map_err(|e| failed(&e))?;
-    let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
-        .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(|e| failed(&e))?
-        .with_client_cert_verifier(verifier)
-        .with_single_cert(vec![certificate.clone()], key.clone_key())
-        .map_err(|e| failed(&e))?;
-    server.alpn_protocols = vec![ALPN.to_vec()];
-    let mut client = rustls::ClientConfig::builder_with_provider(provider)
-        .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(|e| failed(&e))?
-        .with_root_certificates(roots)
-        .with_client_auth_cert(vec![certificate], key)
-        .map_err(|e| failed(&e))?;
-    client.alpn_protocols = vec![ALPN.to_vec()];
-    let server = QuicServerConfig::try_from(server).map_err(|e| failed(&e))?;
-    let client = QuicClientConfig::try_from(client).map_err(|e| failed(&e))?;
-    let mut server = ServerConfig::with_crypto(Arc::new(server));
-    let mut client = ClientConfig::new(Arc::new(client));
-    server.transport_config(transport());
-    client.transport_config(transport());
-    Ok((server, client))
+    let identity = Identity::parse(identity)?;
+    Ok((identity.server(ALPN, transport())?, identity.client(ALPN, transport())?))
 }
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -24,7 +24,6 @@
 mod headers;
 mod identity;
 mod knowledge;
-pub mod logging;
 pub mod outside;
 mod peers;
 mod questions;
