Logs and counters tell a request that was dropped without a response, and why a caller's connection was closed

The report of a lost request could not be told from a caller that left, and an idle connection that was closed from one whose headers were late: the first left no line, the others one at level debug. Now a request that is dropped before its response leaves a line with its id, and connections that are closed here are counted by reason.

--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -47,6 +47,24 @@
     }
 }
 
+/// Reports a request that is dropped before its response: the caller's connection was closed, by the caller or here.
+struct Unanswered {
+    request: String,
+    arrived: Instant,
+    answered: bool,
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let took = self.arrived.elapsed().as_millis() as u64;
+        info!(request = self.request, ms = took; "connection closed before the response");
+        counter!("chestnutstage_unanswered_total").increment(1);
+    }
+}
+
 /// One request of a caller.
 pub(crate) struct Exchange {
     pub(crate) shared: Arc<Shared>,
@@ -78,10 +96,13 @@
     let id = header_text(&parts.headers, &shared.adapters.header_format.names().attempt)
         .unwrap_or_default()
         .to_owned();
-    match Exchange::begin(shared, id.clone(), parts, body, arrived, active).await {
+    let mut unanswered = Unanswered { request: id.clone(), arrived, answered: false };
+    let response = match Exchange::begin(shared, id.clone(), parts, body, arrived, active).await {
         Ok(exchange) => exchange.run().await,
         Err(rejection) => reject(&id, rejection, "rejected before placement"),
-    }
+    };
+    unanswered.answered = true;
+    response
 }
 
 fn reject(request: &str, (reason, retry): Rejection, message: &str) -> BoxResponse {
--- a/chestnutstage_gateway/src/listener.rs
+++ b/chestnutstage_gateway/src/listener.rs
@@ -18,7 +18,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use log::{debug, warn};
+use log::{debug, info, warn};
 use metrics::counter;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -167,11 +167,13 @@
         let next_check = match state.check(idle, header) {
             Check::Wait(next_check) => next_check,
             Check::HeadersLate => {
-                debug!("caller connection closed: headers not complete in time");
+                info!("caller's connection closed: headers not complete in time");
+                count_closed("headers_late");
                 return;
             }
             Check::Idle => {
                 if open {
+                    count_closed("idle");
                     connection.as_mut().graceful_shutdown();
                     open = false;
                 }
@@ -189,6 +191,7 @@
             () = state.request_begun.notified() => {}
             changed = closing.changed(), if open => {
                 if changed.is_ok() && *closing.borrow() {
+                    count_closed("shutdown");
                     connection.as_mut().graceful_shutdown();
                     open = false;
                 }
@@ -197,6 +200,10 @@
     }
 }
 
+fn count_closed(reason: &'static str) {
+    counter!("chestnutstage_caller_connections_closed_total", "reason" => reason).increment(1);
+}
+
 /// A response body that marks its request as ended when dropped.
 struct TrackedBody {
     body: crate::response::ResponseBody,
