A silent endpoint keeps its requests until another one responds

What callers saw: the connection of a stream was closed in the middle of the answer, or a call was answered 502, although the endpoint went on a second later.

Cause: silence was taken for death. An engine that did not answer two load probes (about 1.7 s without data) lost its stream or request first, and a replacement was looked for afterwards; a plain endpoint lost its call at twice the target. Where no other endpoint took over (none free, no retry left, key revoked by a change of the configuration), the request ended there. While a failover ran, the first stream was not read at all, so that a sound one starved until the deadline.

Evidence: seven of the eight tests of `silent_endpoints` failed on the former code (502, 504, or the connection closed after two of four events); `replacement_responds` passed before and after.

Change: the first endpoint's connection is kept while another one is tried, both are awaited, and the first response wins. If nobody takes over, the request waits on.

--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod headers;
 mod identity;
 mod listener;
+mod liveness;
 mod load_reports;
 mod observed_stream;
 mod peer_message;
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -18,9 +18,10 @@
 use metrics::{counter, histogram};
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{Attempt, STALL_TIMEOUT_MIN, Upstream, until_unreachable};
+use crate::attempt::{Attempt, FAILOVERS_MAX, STALL_TIMEOUT_MIN, Upstream, next_data};
 use crate::exchange::Exchange;
 use crate::headers::remove_gateway_headers;
+use crate::liveness::Reachability;
 use crate::response::BoxResponse;
 
 /// Time without data after which a stream is resumed at another endpoint, as a multiple of the target token gap.
@@ -32,8 +33,6 @@
 const UNDECLARED_BYTES_MAX: usize = 8 << 20;
 /// Largest event of a stream; an endpoint in trouble may send bytes without end.
 const EVENT_BYTES_MAX: usize = 1 << 20;
-/// Failover attempts for one stall; after these the gateway only waits for the current stream.
-const STALL_FAILOVERS_MAX: u32 = 2;
 
 /// An event stream that is forwarded to a caller.
 struct EventStream {
@@ -57,11 +56,14 @@
 enum ReadOutcome {
     Bytes(Bytes),
     End,
-    Stalled,
+    Stalled(&'static str),
     Broken(String),
     TimedOut,
 }
 
+/// Data of the endpoint's stream, or `None` at its end.
+type Data = Option<hyper::Result<Bytes>>;
+
 /// Builds the response whose body forwards the stream, after the `prefix` that was already read from it.
 pub(crate) fn response(exchange: Exchange, upstream: Box<Upstream>, prefix: Bytes) -> BoxResponse {
     let mut head = Response::new(()).into_parts().0;
@@ -94,21 +96,30 @@
         if !self.prefix.is_empty() {
             return Some(Ok(std::mem::take(&mut self.prefix)));
         }
+        let mut outcome = self.read().await;
         loop {
-            match self.read().await {
+            match outcome {
                 ReadOutcome::Bytes(bytes) => return Some(Ok(bytes)),
                 ReadOutcome::End => {
                     self.finish();
                     return None;
                 }
                 ReadOutcome::TimedOut => return Some(Err(self.abort("the deadline passed"))),
-                ReadOutcome::Stalled => self.fail_over_stalled().await,
+                ReadOutcome::Stalled(cause) => {
+                    if let Some(data) = self.fail_over(cause).await
+                        && let Some(resumed) = self.accept(data)
+                    {
+                        outcome = resumed;
+                        continue;
+                    }
+                }
                 ReadOutcome::Broken(cause) => {
                     if !self.resume(&cause).await {
                         return Some(Err(self.abort(&cause)));
                     }
                 }
             }
+            outcome = self.read().await;
         }
     }
 
@@ -125,43 +136,59 @@
 
     /// Reads until at least one whole event has arrived.
     async fn read(&mut self) -> ReadOutcome {
-        let resumable = self.exchange.route.repeat == Repeat::Resumable;
         loop {
             let deadline = self.read_deadline();
+            let probed = self.exchange.probes_engine();
             let Some(upstream) = &mut self.upstream else { return ReadOutcome::End };
-            let engine = self.exchange.probes_engine();
-            let address = upstream.address;
-            let read = tokio::select! {
-                read = timeout_at(deadline, upstream.next_data()) => read,
-                () = until_unreachable(&self.exchange.shared, address), if engine => {
-                    return ReadOutcome::Broken("the engine does not answer load probes".into());
-                }
-            };
-            let data = match read {
-                Ok(Some(Ok(data))) => data,
-                Ok(Some(Err(e))) => return ReadOutcome::Broken(e.to_string()),
-                Ok(None) if resumable && self.exchange.relay.partial_len() > 0 => {
-                    return ReadOutcome::Broken("the stream ended inside an event".into());
-                }
-                Ok(None) => return ReadOutcome::End,
-                Err(_) if Instant::now() >= self.exchange.deadline => return ReadOutcome::TimedOut,
-                Err(_) => return ReadOutcome::Stalled,
+            let Upstream { probe, body, channel, .. } = &mut **upstream;
+            let data = tokio::select! {
+                biased;
+                data = timeout_at(deadline, next_data(body, channel)) => match data {
+                    Ok(data) => data,
+                    Err(_) if Instant::now() >= self.exchange.deadline => return ReadOutcome::TimedOut,
+                    Err(_) => return ReadOutcome::Stalled("the stream stalled"),
+                },
+                reachability = probe.watch(), if probed => match reachability {
+                    Reachability::Suspect => return ReadOutcome::Stalled("the engine does not answer load probes"),
+                    Reachability::Lost => {
+                        return ReadOutcome::Broken("the engine does not answer load probes".into());
+                    }
+                },
             };
-            self.received_len += data.len();
-            if self.received_len > self.received_max {
-                return ReadOutcome::Broken(format!(
-                    "the response is larger than {UNDECLARED_BYTES_MAX} bytes"
-                ));
-            }
-            let events = if resumable { self.exchange.relay.push(&data) } else { data };
-            if self.exchange.relay.partial_len() > EVENT_BYTES_MAX {
-                return ReadOutcome::Broken(format!("an event is larger than {EVENT_BYTES_MAX} bytes"));
+            if let Some(outcome) = self.accept(data) {
+                return outcome;
             }
-            if !events.is_empty() {
-                self.record_events();
-                return ReadOutcome::Bytes(events);
+        }
+    }
+
+    /// Handles data of the stream; returns `None` if that completes no event.
+    fn accept(&mut self, data: Data) -> Option<ReadOutcome> {
+        let resumable = self.exchange.route.repeat == Repeat::Resumable;
+        let data = match data {
+            Some(Ok(data)) => data,
+            Some(Err(e)) => return Some(ReadOutcome::Broken(e.to_string())),
+            None if resumable && self.exchange.relay.partial_len() > 0 => {
+                return Some(ReadOutcome::Broken("the stream ended inside an event".into()));
             }
+            None => return Some(ReadOutcome::End),
+        };
+        if let Some(upstream) = &mut self.upstream {
+            upstream.probe.record_data();
+        }
+        self.received_len += data.len();
+        if self.received_len > self.received_max {
+            let cause = format!("the response is larger than {UNDECLARED_BYTES_MAX} bytes");
+            return Some(ReadOutcome::Broken(cause));
+        }
+        let events = if resumable { self.exchange.relay.push(&data) } else { data };
+        if self.exchange.relay.partial_len() > EVENT_BYTES_MAX {
+            return Some(ReadOutcome::Broken(format!("an event is larger than {EVENT_BYTES_MAX} bytes")));
         }
+        if events.is_empty() {
+            return None;
+        }
+        self.record_events();
+        Some(ReadOutcome::Bytes(events))
     }
 
     fn record_events(&mut self) {
@@ -196,7 +223,7 @@
         let exchange = &self.exchange;
         if exchange.route.repeat != Repeat::Resumable
             || exchange.possible_runs >= exchange.route.attempts
-            || self.stall_failovers >= STALL_FAILOVERS_MAX
+            || self.stall_failovers >= FAILOVERS_MAX
         {
             return exchange.deadline;
         }
@@ -210,19 +237,31 @@
         exchange.deadline.min(self.last_progress + timeout)
     }
 
-    /// Tries another endpoint after a stall. An engine in a long prefill sends nothing either, so the current stream is
-    /// dropped only once the other endpoint responds.
-    async fn fail_over_stalled(&mut self) {
+    /// Tries another endpoint beside one that sends nothing: it may be in a long prefill, or go on after a while. Returns
+    /// the data that it sends before the other endpoint responds.
+    async fn fail_over(&mut self, cause: &'static str) -> Option<Data> {
         self.stall_failovers += 1;
         self.last_progress = Instant::now();
-        if self.exchange.relay.partial_len() > 0 || !self.exchange.may_repeat() {
-            return;
+        let suspect = self.upstream.as_ref().is_some_and(|upstream| upstream.probe.is_suspect());
+        if !suspect && self.exchange.relay.partial_len() > 0 || !self.exchange.may_repeat() {
+            return None;
         }
-        if let Attempt::Responded(upstream) = self.exchange.attempt().await
-            && upstream.head.status.is_success()
-        {
-            self.switch_upstream(upstream, "the stream stalled");
+        let upstream = self.upstream.as_mut()?;
+        if suspect {
+            self.exchange.shared.report_failure(upstream.key).await;
+        }
+        let attempt = tokio::select! {
+            biased;
+            data = upstream.next_data() => return Some(data),
+            attempt = self.exchange.attempt() => attempt,
+        };
+        match attempt {
+            Attempt::Responded(other) if other.head.status.is_success() => self.switch_upstream(other, cause),
+            other => {
+                info!(request = self.exchange.id, cause = other.to_string(); "no other endpoint took over; waiting on");
+            }
         }
+        None
     }
 
     /// Continues after the last whole event with the stream of another endpoint.
--- /dev/null
+++ b/chestnutstage_gateway/tests/silent_endpoints.rs
@@ -0,0 +1,140 @@
+//! Endpoints that send nothing for a while and then go on. The silence must not end a request that no other endpoint takes
+//! over.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutstage_gateway::external::{Fact, Topic};
+use common::backend::{Backend, END, Reply, answer, event, stream, success};
+use common::{Harness, catalog, listing};
+use reqwest::{Method, Response, StatusCode};
+
+/// Longer than the time without data after which an engine is probed, and than the timeout of a plain response.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Starts a gateway before an engine that gives this reply and answers no load probes.
+async fn silent_engine(reply: Reply) -> (Arc<Backend>, Harness) {
+    let backend = Backend::start(vec![reply]).await;
+    let harness = Harness::start(vec![listing("e1", "llm", backend.address)]).await;
+    harness.engines.unresponsive.lock().unwrap().push(backend.address);
+    (backend, harness)
+}
+
+async fn post(harness: &Harness, path: &str) -> Response {
+    harness.request(Method::POST, path).header("x-tokens", "100").body("prompt").send().await.unwrap()
+}
+
+fn events(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(event).collect()
+}
+
+/// Two events, the silence, and two more events.
+fn interrupted_stream() -> Reply {
+    let rest = stream(1..=4)[stream(1..=2).len()..].to_owned() + END;
+    Reply::Pause(SILENCE, stream(1..=2), rest)
+}
+
+#[tokio::test]
+async fn stream_cut_by_silence() {
+    for path in ["/chat/x", "/archive/x"] {
+        let (backend, harness) = silent_engine(interrupted_stream()).await;
+        assert_eq!(post(&harness, path).await.text().await.unwrap(), events(1..=4));
+        assert_eq!(backend.requests().len(), 1);
+    }
+}
+
+#[tokio::test]
+async fn head_lost_by_silence() {
+    for path in ["/chat/x", "/archive/x"] {
+        let (backend, harness) =
+            silent_engine(Reply::Pause(SILENCE, String::new(), stream(1..=4) + END)).await;
+        let response = post(&harness, path).await;
+        assert_eq!(response.status(), StatusCode::OK);
+        assert_eq!(response.text().await.unwrap(), events(1..=4));
+        assert_eq!(backend.requests().len(), 1);
+    }
+}
+
+/// A key is revoked while the engine is silent, so that no other engine may take over.
+#[tokio::test]
+async fn revoked_during_silence() {
+    let backend = Backend::start(vec![interrupted_stream()]).await;
+    let listings = vec![listing("e1", "llm", backend.address), listing("e2", "llm", backend.address)];
+    let harness = Harness::start(listings).await;
+    harness.engines.unresponsive.lock().unwrap().push(backend.address);
+    let response = post(&harness, "/archive/x").await;
+    let mut next = catalog(2);
+    next.customers[0].keys = vec!["another".into()];
+    harness.store.publish(Topic::Operators, vec![Fact::Catalog(Box::new(next))]);
+    assert_eq!(response.text().await.unwrap(), events(1..=4));
+    assert_eq!(backend.requests().len(), 1);
+}
+
+/// The other engine refuses to take over.
+#[tokio::test]
+async fn replacement_refused() {
+    let silent = Backend::start(vec![interrupted_stream()]).await;
+    let full = Backend::start(vec![Reply::Bytes(answer("503 Full", "x-not-run: 1\r\n", ""))]).await;
+    let harness = Harness::start(vec![listing("e1", "llm", silent.address)]).await;
+    harness.engines.unresponsive.lock().unwrap().push(silent.address);
+    let response = post(&harness, "/archive/x").await;
+    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("e2", "llm", full.address))]);
+    assert_eq!(response.text().await.unwrap(), events(1..=4));
+}
+
+/// The engine goes on while another one has accepted the stream but sent nothing yet.
+#[tokio::test]
+async fn starved_by_failover() {
+    let silent = Backend::start(vec![interrupted_stream()]).await;
+    let hanging = Backend::start(vec![Reply::Hang(String::new())]).await;
+    let harness = Harness::start(vec![listing("e1", "llm", silent.address)]).await;
+    let response = post(&harness, "/chat/x").await;
+    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("e2", "llm", hanging.address))]);
+    assert_eq!(response.text().await.unwrap(), events(1..=4));
+    assert_eq!(hanging.requests().len(), 1, "the other engine was tried meanwhile");
+    hanging.closed.notified().await;
+}
+
+#[tokio::test]
+async fn call_lost_by_silence() {
+    let reply = Reply::Pause(SILENCE, String::new(), answer("200 OK", "x-seal: s\r\n", "done"));
+    let backend = Backend::start(vec![reply]).await;
+    let harness = Harness::start(vec![listing("d1", "desk", backend.address)]).await;
+    let response = harness.request(Method::GET, "/look/x").send().await.unwrap();
+    assert_eq!((response.status(), response.text().await.unwrap()), (StatusCode::OK, "done".into()));
+    assert_eq!(backend.requests().len(), 1);
+}
+
+/// The silent endpoint goes on while another one works on the request as well; the first response wins.
+#[tokio::test]
+async fn first_response_wins() {
+    let slow = Reply::Pause(SILENCE, String::new(), answer("200 OK", "x-seal: s\r\n", "first"));
+    let silent = Backend::start(vec![slow]).await;
+    let hanging = Backend::start(vec![Reply::Hang(String::new())]).await;
+    let harness = Harness::start(vec![listing("d1", "desk", silent.address)]).await;
+    let sending = tokio::spawn(harness.request(Method::GET, "/look/x").send());
+    while silent.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("d2", "desk", hanging.address))]);
+    let response = sending.await.unwrap().unwrap();
+    assert_eq!((response.status(), response.text().await.unwrap()), (StatusCode::OK, "first".into()));
+    assert_eq!(hanging.requests().len(), 1, "the other endpoint was tried meanwhile");
+    hanging.closed.notified().await;
+}
+
+#[tokio::test]
+async fn replacement_responds() {
+    let silent = Backend::start(vec![Reply::Hang(String::new())]).await;
+    let other = Backend::start(vec![success("other")]).await;
+    let harness = Harness::start(vec![listing("d1", "desk", silent.address)]).await;
+    let sending = tokio::spawn(harness.request(Method::GET, "/look/x").send());
+    while silent.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("d2", "desk", other.address))]);
+    assert_eq!(sending.await.unwrap().unwrap().text().await.unwrap(), "other");
+    silent.closed.notified().await;
+}
