The body of a rejected request is read before the rejection is sent

What callers saw: a request for a route that had just been removed, or with a revoked key, whose connection was reset instead of answered, and with it the next request on the same connection.

Cause: a rejection before placement was sent without reading the body. The HTTP library then closes the reading side unless the rest of the body is already there, and a socket that is closed with unread bytes resets the connection. Bytes of the body that came later were taken for the headers of another request, whose timeout could close the connection.

Evidence: `body_after_refusal` ended in a broken pipe on the former code.

Change: up to 1 MiB of the body is read first, for at most a second; if it is not complete by then, the response says that the connection is closed.

--- a/chestnutstage_gateway/src/admission.rs
+++ b/chestnutstage_gateway/src/admission.rs
@@ -9,7 +9,7 @@
 use http::request::Parts;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::headers::header_text;
 use crate::response::{DEFAULT_RETRY_DELAY, Reason};
@@ -21,6 +21,11 @@
 /// Margin subtracted from the age at which keys expire; covers the time until the request reaches the endpoint.
 const KEY_AGE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest wait for the rest of the body of a rejected request.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest rest of a body that is read.
+const DRAINED_BYTES_MAX: usize = 1 << 20;
+
 /// Why a request is rejected before placement, and the retry delay for the caller if there is one.
 pub(crate) type Rejection = (Reason, Option<Duration>);
 
@@ -68,7 +73,11 @@
 }
 
 /// Reads the whole body of a request.
-pub(crate) async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Rejection> {
+pub(crate) async fn read_body(
+    body: &mut Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, Rejection> {
     match timeout_at(deadline, Limited::new(body, limit).collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err((Reason::TooLarge, None)),
@@ -76,3 +85,18 @@
         Err(_) => Err((Reason::Overloaded, Some(DEFAULT_RETRY_DELAY))),
     }
 }
+
+/// Reads what is left of the body of a rejected request; returns whether that was possible. A connection that is closed while
+/// bytes arrive is reset, and the caller may lose the response.
+pub(crate) async fn drain_body(body: &mut Incoming) -> bool {
+    let drain = async {
+        let mut left = DRAINED_BYTES_MAX;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            let Some(rest) = left.checked_sub(frame.data_ref().map_or(0, Bytes::len)) else { return false };
+            left = rest;
+        }
+        true
+    };
+    timeout(DRAIN_TIMEOUT, drain).await.unwrap_or(false)
+}
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -13,16 +13,16 @@
 use chestnutstage_core::ids::{CustomerId, ModelId};
 use chestnutstage_core::pool::{Key, Refusal};
 use chestnutstage_core::relay::Relay;
-use http::header::{CONTENT_LENGTH, EXPECT};
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT};
 use http::request::Parts;
 use http::response;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
 use log::{info, warn};
 use metrics::{counter, histogram};
 use tokio::time::{Instant, timeout_at};
 
-use crate::admission::{Rejection, find_customer, find_route, read_body};
+use crate::admission::{Rejection, drain_body, find_customer, find_route, read_body};
 use crate::attempt::{Attempt, Upstream};
 use crate::external::Prompt;
 use crate::headers::{header_text, remove_hop_by_hop};
@@ -92,14 +92,21 @@
     let arrived = Instant::now();
     shared.running.fetch_add(1, Ordering::Relaxed);
     let active = ActiveRequest(shared.clone());
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let id = header_text(&parts.headers, &shared.adapters.header_format.names().attempt)
         .unwrap_or_default()
         .to_owned();
     let mut unanswered = Unanswered { request: id.clone(), arrived, answered: false };
-    let response = match Exchange::begin(shared, id.clone(), parts, body, arrived, active).await {
+    let response = match Exchange::begin(shared, id.clone(), parts, &mut body, arrived, active).await {
         Ok(exchange) => exchange.run().await,
-        Err(rejection) => reject(&id, rejection, "rejected before placement"),
+        Err(rejection) => {
+            let drained = drain_body(&mut body).await;
+            let mut response = reject(&id, rejection, "rejected before placement");
+            if !drained {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            response
+        }
     };
     unanswered.answered = true;
     response
@@ -116,7 +123,7 @@
         shared: Arc<Shared>,
         id: String,
         mut parts: Parts,
-        body: Incoming,
+        body: &mut Incoming,
         arrived: Instant,
         active: ActiveRequest,
     ) -> Result<Self, Rejection> {
--- a/chestnutstage_gateway/tests/caller_connections.rs
+++ b/chestnutstage_gateway/tests/caller_connections.rs
@@ -88,3 +88,35 @@
     let closed = timeout(Duration::from_secs(2), caller.read(&mut rest)).await;
     assert!(matches!(closed, Ok(Ok(0))), "the lower timeout holds from the next request on");
 }
+
+/// A request is refused before its body has arrived. The body must not end the connection, nor count as the next request's
+/// headers.
+#[tokio::test]
+async fn body_after_refusal() {
+    let (_harness, mut caller) = connect(Duration::from_secs(15)).await;
+    for path in ["/gone/x", "/look/x"] {
+        let key = if path == "/look/x" { "x-key: another\r\n" } else { "" };
+        let refused = head(path, 3_000).replacen("x-key:", &format!("{key}x-former:"), 1);
+        caller.write_all(refused.as_bytes()).await.unwrap();
+        sleep(Duration::from_millis(50)).await;
+        caller.write_all(&[b'x'; 1_500]).await.unwrap();
+        sleep(Duration::from_millis(50)).await;
+        caller.write_all(&[b'x'; 1_500]).await.unwrap();
+        let status = read_status(&mut caller).await;
+        assert!(status == "HTTP/1.1 404 Not Found" || status == "HTTP/1.1 401 Unauthorized", "{status}");
+        sleep(catalog(1).limits.header_time + Duration::from_millis(500)).await;
+        caller.write_all(head("/look/x", 0).as_bytes()).await.unwrap();
+        assert_eq!(read_status(&mut caller).await, "HTTP/1.1 200 OK");
+    }
+}
+
+/// A refused request whose body does not arrive is answered soon all the same.
+#[tokio::test]
+async fn refusal_without_body() {
+    let (_harness, mut caller) = connect(Duration::from_secs(15)).await;
+    caller.write_all(head("/gone/x", 3_000).as_bytes()).await.unwrap();
+    assert_eq!(read_status(&mut caller).await, "HTTP/1.1 404 Not Found");
+    let mut rest = [0; 1];
+    let closed = timeout(RESPONSE_TIME_MAX, caller.read(&mut rest)).await;
+    assert!(matches!(closed, Ok(Ok(0))), "the connection can't be used for another request");
+}
