An instance that shuts down waits until its responses have left

What callers saw: a response that broke off when the instance was restarted, if the caller read slowly.

Cause: the shutdown waited for requests, and a request counts as ended once its whole response is handed to the connection. What the connection had not written yet was lost when the process exited.

Evidence: `shutdown_before_flush` found the former shutdown complete while responses of 1 MiB each waited for the caller.

Change: the shutdown also waits, within the grace period, until the connections of callers have ended; idle ones are closed at its start.

--- a/chestnutstage_gateway/src/gateway.rs
+++ b/chestnutstage_gateway/src/gateway.rs
@@ -137,6 +137,7 @@
             budget: Mutex::new(budget),
             draining: AtomicBool::new(false),
             running: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             incarnation,
         });
         let (closing, closed) = watch::channel(false);
@@ -156,7 +157,7 @@
         self.addresses
     }
 
-    /// Stops accepting callers, waits up to the grace period for open requests, and leaves the members.
+    /// Stops accepting callers, waits up to the grace period until all responses have left, and leaves the members.
     pub async fn shutdown(self) {
         let started = Instant::now();
         let grace = self.shared.settings.bounds.grace().saturating_sub(EXIT_MARGIN);
@@ -170,7 +171,7 @@
         });
         sleep(DRAIN_DELAY.min(grace)).await;
         self.closing.send_replace(true);
-        while !self.shared.is_idle() && started.elapsed() < grace {
+        while !(self.shared.is_idle() && self.shared.has_no_callers()) && started.elapsed() < grace {
             sleep(IDLE_POLL_INTERVAL).await;
         }
         let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner).clone();
--- a/chestnutstage_gateway/src/listener.rs
+++ b/chestnutstage_gateway/src/listener.rs
@@ -166,7 +166,24 @@
     }
 }
 
+/// Counts an open connection until dropped.
+struct OpenConnection(Arc<Shared>);
+
+impl OpenConnection {
+    fn new(shared: Arc<Shared>) -> Self {
+        shared.connections.fetch_add(1, Ordering::Relaxed);
+        Self(shared)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn connection(shared: Arc<Shared>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    let _open = OpenConnection::new(shared.clone());
     if let Err(e) = stream.set_nodelay(true) {
         debug!("failed to set TCP_NODELAY: {e}");
     }
--- a/chestnutstage_gateway/src/shared.rs
+++ b/chestnutstage_gateway/src/shared.rs
@@ -43,6 +43,8 @@
     pub(crate) budget: Mutex<RetryBudget>,
     pub(crate) draining: AtomicBool,
     pub(crate) running: AtomicUsize,
+    /// Open connections of callers.
+    pub(crate) connections: AtomicUsize,
     /// Unique name of this run of the process, which prefixes the names of its reservations.
     pub(crate) incarnation: String,
 }
@@ -65,6 +67,11 @@
         self.running.load(Ordering::Relaxed) == 0
     }
 
+    /// Whether all callers are disconnected, and with them every response has left.
+    pub(crate) fn has_no_callers(&self) -> bool {
+        self.connections.load(Ordering::Relaxed) == 0
+    }
+
     /// Number of idle connections that this instance may keep to an endpoint; 0 while its service is unknown.
     pub(crate) fn idle_share(&self, listing: &Listing) -> usize {
         let Some(directory) = self.store_cache.directory() else { return 0 };
--- a/chestnutstage_gateway/tests/caller_connections.rs
+++ b/chestnutstage_gateway/tests/caller_connections.rs
@@ -120,3 +120,27 @@
     let closed = timeout(RESPONSE_TIME_MAX, caller.read(&mut rest)).await;
     assert!(matches!(closed, Ok(Ok(0))), "the connection can't be used for another request");
 }
+
+/// An instance shuts down while responses are still on their way to a slow caller. Several are needed to fill the buffers of
+/// the sockets.
+#[tokio::test]
+async fn shutdown_before_flush() {
+    let body = "x".repeat(1 << 20);
+    let backend = Backend::start(vec![success(&body)]).await;
+    let harness = Harness::start(vec![listing("d1", "desk", backend.address)]).await;
+    let mut caller = TcpStream::connect(harness.gateway.listen_addresses().callers).await.unwrap();
+    caller.write_all(head("/look/x", 0).repeat(12).as_bytes()).await.unwrap();
+    let mut served = 0;
+    while served == 0 || served < backend.requests().len() {
+        served = backend.requests().len();
+        sleep(Duration::from_millis(500)).await;
+    }
+    assert!(served < 12, "the buffers hold all responses");
+    let stopping = tokio::spawn(harness.gateway.shutdown());
+    sleep(Duration::from_secs(4)).await;
+    assert!(!stopping.is_finished(), "a response has not left yet");
+    let mut bytes = Vec::new();
+    caller.read_to_end(&mut bytes).await.unwrap();
+    assert!(bytes.len() > served * body.len(), "all responses arrived whole");
+    timeout(RESPONSE_TIME_MAX, stopping).await.expect("the instance stops").unwrap();
+}
