A stream that breaks before its first event gets an error response

What callers saw: status 200 and then a closed connection, without a single event, where the engine had failed between its head and its first event and nobody took over; in the worst case not even the head.

Cause: the head was handed to the connection before the first event had been read.

Change: the head waits for the first events. If they don't come, the caller gets 502, or 504 at the deadline.

The fake endpoint sets its send buffer through the listener, so that its constructor stays asynchronous.

--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -176,7 +176,7 @@
         loop {
             match self.attempt().await {
                 Attempt::Responded(upstream) if upstream.is_success() && self.is_streamed(&upstream) => {
-                    return stream::response(self, upstream, Bytes::new());
+                    return stream::response(self, upstream, Bytes::new()).await;
                 }
                 Attempt::Responded(upstream) => match self.forward_buffered(upstream).await {
                     Forwarded::Response(response) => return response,
@@ -210,7 +210,7 @@
     }
 
     /// Ends a request whose outcome is unknown, with the error response of an endpoint if there is one.
-    fn fail(&mut self) -> BoxResponse {
+    pub(crate) fn fail(&mut self) -> BoxResponse {
         if let Some((head, bytes)) = self.fallback.take() {
             return Response::from_parts(head, full(bytes));
         }
@@ -272,7 +272,7 @@
         let bytes = match read {
             Ok(Ok(Buffered::Whole(bytes))) => bytes,
             Ok(Ok(Buffered::Prefix(prefix))) if upstream.is_success() => {
-                return Forwarded::Response(stream::response(self, upstream, prefix));
+                return Forwarded::Response(stream::response(self, upstream, prefix).await);
             }
             Ok(Ok(Buffered::Prefix(_))) => {
                 return self.repeat_or_fail(upstream, "the response is too large").await;
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -64,15 +64,16 @@
 /// Data of the endpoint's stream, or `None` at its end.
 type Data = Option<hyper::Result<Bytes>>;
 
-/// Builds the response whose body forwards the stream, after the `prefix` that was already read from it.
-pub(crate) fn response(exchange: Exchange, upstream: Box<Upstream>, prefix: Bytes) -> BoxResponse {
+/// Builds the response whose body forwards the stream, after the `prefix` that was already read from it. The head waits for
+/// the first events, so that a stream that breaks before them still gets an error response.
+pub(crate) async fn response(exchange: Exchange, upstream: Box<Upstream>, prefix: Bytes) -> BoxResponse {
     let mut head = Response::new(()).into_parts().0;
     head.status = upstream.head.status;
     head.headers = upstream.head.headers.clone();
     remove_gateway_headers(&mut head.headers);
     let is_bounded = exchange.route.repeat.is_stream() || upstream.body.size_hint().exact().is_some();
     let received_max = if is_bounded { usize::MAX } else { UNDECLARED_BYTES_MAX };
-    let stream = EventStream {
+    let mut stream = EventStream {
         exchange,
         upstream: Some(upstream),
         received_len: prefix.len(),
@@ -83,16 +84,29 @@
         longest_gap: Duration::ZERO,
         stall_failovers: 0,
     };
-    let frames = unfold(stream, |mut stream| async move {
-        let item = stream.next().await?;
-        Some((item.map(Frame::data), stream))
+    let first = match stream.next().await {
+        Some(Err(cause)) => {
+            stream.upstream = None;
+            warn!(request = stream.exchange.id, cause; "stream broken before its first event");
+            return stream.exchange.fail();
+        }
+        Some(Ok(bytes)) => bytes,
+        None => Bytes::new(),
+    };
+    let frames = unfold((first, stream), |(first, mut stream)| async move {
+        if !first.is_empty() {
+            return Some((Ok(Frame::data(first)), (Bytes::new(), stream)));
+        }
+        let item = stream.next().await?.map_err(|cause| stream.abort(&cause));
+        Some((item.map(Frame::data), (Bytes::new(), stream)))
     });
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
 }
 
 impl EventStream {
-    /// Returns the next whole events, or `None` at the end of a complete stream.
-    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+    /// Returns the next whole events, or `None` at the end of a complete stream. Fails with the cause if the stream can't be
+    /// completed.
+    async fn next(&mut self) -> Option<Result<Bytes, String>> {
         if !self.prefix.is_empty() {
             return Some(Ok(std::mem::take(&mut self.prefix)));
         }
@@ -104,7 +118,7 @@
                     self.finish();
                     return None;
                 }
-                ReadOutcome::TimedOut => return Some(Err(self.abort("the deadline passed"))),
+                ReadOutcome::TimedOut => return Some(Err("the deadline passed".into())),
                 ReadOutcome::Stalled(cause) => {
                     if let Some(data) = self.fail_over(cause).await
                         && let Some(resumed) = self.accept(data)
@@ -115,7 +129,7 @@
                 }
                 ReadOutcome::Broken(cause) => {
                     if !self.resume(&cause).await {
-                        return Some(Err(self.abort(&cause)));
+                        return Some(Err(cause));
                     }
                 }
             }
--- a/chestnutstage_gateway/tests/common/backend.rs
+++ b/chestnutstage_gateway/tests/common/backend.rs
@@ -6,16 +6,14 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
 /// Pause in the middle of a stream, longer than the time without data after which the gateway probes an engine.
 pub const PAUSE: Duration = Duration::from_millis(3_500);
 
 /// Size of the buffer for bytes that the peer has not received.
-const SEND_BUFFER_BYTES: u32 = 256 << 10;
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
+const SEND_BUFFER_BYTES: usize = 256 << 10;
 /// Bytes that an endless reply sends at once.
 const ENDLESS_WRITE_BYTES: usize = 4_096;
 
@@ -79,11 +77,9 @@
 impl Backend {
     /// Starts an endpoint that gives these replies in order and repeats the last one.
     pub async fn start(replies: Vec<Reply>) -> Arc<Self> {
-        let socket = TcpSocket::new_v4().unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         // Accepted connections inherit it; otherwise the system grows it to megabytes that count as sent.
-        socket.set_send_buffer_size(SEND_BUFFER_BYTES).unwrap();
-        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let listener = socket.listen(BACKLOG).unwrap();
+        rustix::net::sockopt::set_socket_send_buffer_size(&listener, SEND_BUFFER_BYTES).unwrap();
         let backend = Arc::new(Self {
             address: listener.local_addr().unwrap(),
             requests: Mutex::default(),
--- a/chestnutstage_gateway/tests/event_streams.rs
+++ b/chestnutstage_gateway/tests/event_streams.rs
@@ -82,6 +82,25 @@
     assert_eq!(backend.requests().len(), 1);
 }
 
+/// A stream breaks after its head, before the first event, and no endpoint resumes it. The caller gets a response.
+#[tokio::test]
+async fn broken_before_event() {
+    let whole = stream(1..=1);
+    let head = whole[..whole.find("\r\n\r\n").unwrap() + 4].to_owned();
+    for path in ["/chat/x", "/tape/x"] {
+        for partial in ["", "5\r\nid: 1\r\n"] {
+            let backend = Backend::start(vec![Reply::Truncate(head.clone() + partial)]).await;
+            let harness = Harness::start(vec![listing("e1", "llm", backend.address)]).await;
+            let response = post(&harness, path, "100").await;
+            if path == "/chat/x" || partial.is_empty() {
+                assert_eq!(response.status(), StatusCode::BAD_GATEWAY, "{path} {partial:?}");
+            } else {
+                assert!(response.text().await.is_err(), "{path} {partial:?}");
+            }
+        }
+    }
+}
+
 #[tokio::test]
 async fn broken_without_failover() {
     let backend = Backend::start(vec![Reply::Truncate(stream(1..=3))]).await;
