Of a silent endpoint and the one tried beside it, a failure of either does not end the other

Cause: the race went to whoever moved first, whatever it said.

Evidence: `first_fails_late`, `stream_fails_late`, `replacement_fails` and `replacement_breaks` failed on the former code.

Change: only a success ends the race of two calls; an error response is kept in case nothing better comes. A stream moves once the other engine has sent a whole event. A retry that was taken for a race without a send is given back, one silence is reported as one failure, and an engine counts as lost by six failed probes in a row, with the same pause after one that fails at once.

`rejection_after_failure` covers the branch that `rejection_after_run` no longer reaches since silence is waited for; both demand their exact status. `replacement_refused` now asserts that the other engine was tried.

--- a/chestnutstage_core/src/budget.rs
+++ b/chestnutstage_core/src/budget.rs
@@ -50,6 +50,11 @@
         self.saved = (self.saved + self.earned).min(self.saved_max);
     }
 
+    /// Credits a retry that was spent and not used.
+    pub fn give_back(&mut self) {
+        self.saved = (self.saved + RETRY_COST).min(self.saved_max);
+    }
+
     /// Whether a retry is available.
     pub const fn has_retry(&self) -> bool {
         self.saved >= RETRY_COST
--- a/chestnutstage_core/src/relay.rs
+++ b/chestnutstage_core/src/relay.rs
@@ -44,6 +44,11 @@
         out.freeze()
     }
 
+    /// Whether the start of a stream contains a whole event.
+    pub fn has_event(bytes: &[u8]) -> bool {
+        find(bytes, EVENT_END).is_some()
+    }
+
     /// Id of the last forwarded event.
     pub const fn last_event_id(&self) -> Option<u64> {
         self.last_id
--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -91,6 +91,8 @@
     reservations: Option<Reservations>,
     idle_share: usize,
     probe: LivenessProbe,
+    /// Whether the silence was reported as a failure.
+    reported: bool,
     sent: Instant,
 }
 
@@ -158,6 +160,7 @@
             placement,
             grant,
             reservations,
+            reported: false,
             sent: Instant::now(),
         })
     }
@@ -211,32 +214,70 @@
         }
     }
 
-    /// Sends the request to another endpoint as well, and waits for the response that comes first.
+    /// Sends the request to another endpoint as well, and waits for the first success. A failure of one of the two does not end
+    /// the other.
     async fn race_another(&mut self, pending: &mut PendingSend) -> Race {
         if !self.may_repeat() {
             return Race::None;
         }
-        self.shared.report_failure(pending.placement.key).await;
+        if !std::mem::replace(&mut pending.reported, true) {
+            self.shared.report_failure(pending.placement.key).await;
+        }
         info!(
             request = self.id, endpoint:% = pending.placement.listing.id;
             "endpoint is silent; trying another one beside it"
         );
-        let attempt = Box::pin(self.attempt());
-        let raced = tokio::select! {
-            biased;
-            sent = &mut pending.sending => return Race::First(sent),
-            attempt = attempt => attempt,
+        let sends = self.sends;
+        let (first, attempt) = {
+            let mut first = None;
+            let mut attempt = Box::pin(self.attempt());
+            loop {
+                tokio::select! {
+                    biased;
+                    sent = &mut pending.sending, if first.is_none() => {
+                        if is_success(&sent) {
+                            return Race::First(sent);
+                        }
+                        first = Some(sent);
+                    }
+                    attempt = &mut attempt => break (first, attempt),
+                }
+            }
         };
-        if let Attempt::Responded(_) = raced {
-            return Race::Other(raced);
+        if self.sends == sends {
+            self.shared.return_retry();
+        }
+        match (first, attempt) {
+            (Some(sent), Attempt::Responded(other)) => {
+                if matches!(sent.1, Err(SendFailure::NotSent(_))) {
+                    self.sends -= 1;
+                    self.possible_runs -= 1;
+                }
+                Race::Other(Attempt::Responded(other))
+            }
+            (Some(sent), _) => Race::First(sent),
+            (None, Attempt::Responded(other)) if !other.head.status.is_server_error() => {
+                Race::Other(Attempt::Responded(other))
+            }
+            (None, Attempt::Responded(other)) => {
+                self.keep_fallback(other).await;
+                Race::None
+            }
+            (None, other) => {
+                info!(
+                    request = self.id, cause = other.to_string();
+                    "no other endpoint took over; waiting for the first"
+                );
+                Race::None
+            }
         }
-        info!(request = self.id, cause = raced.to_string(); "no other endpoint took over; waiting for the first");
-        Race::None
     }
 
     /// Ends the wait for an endpoint that may have run the request.
     async fn give_up(&self, pending: PendingSend, cause: &str) -> Attempt {
-        self.shared.report_failure(pending.placement.key).await;
+        if !pending.reported {
+            self.shared.report_failure(pending.placement.key).await;
+        }
         Attempt::Unknown(format!("{} {cause}", pending.placement.listing.id))
     }
 
@@ -442,6 +483,11 @@
     }
 }
 
+/// Whether an endpoint responded with a success.
+fn is_success((_, result): &Sent) -> bool {
+    result.as_ref().is_ok_and(|response| response.status().is_success())
+}
+
 /// Reads the next data of a body; `None` at its end.
 pub(crate) async fn next_data(body: &mut Incoming, channel: &Channel) -> Option<hyper::Result<Bytes>> {
     loop {
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -308,6 +308,22 @@
         Forwarded::Response(Response::from_parts(head, full(bytes)))
     }
 
+    /// Keeps the error response of an endpoint in case that no other one does better.
+    pub(crate) async fn keep_fallback(&mut self, mut upstream: Box<Upstream>) {
+        let status = upstream.head.status.as_u16();
+        info!(request = self.id, status; "endpoint returned a server error; waiting for the first");
+        let read = timeout_at(self.deadline, read_buffered(&mut upstream)).await;
+        let Upstream { mut head, .. } = *upstream;
+        if implies_not_run(head.status) || self.route.repeat.is_stream() {
+            return;
+        }
+        if let Ok(Ok(Buffered::Whole(bytes))) = read {
+            remove_hop_by_hop(&mut head.headers);
+            head.headers.remove(CONTENT_LENGTH);
+            self.fallback = Some((head, bytes));
+        }
+    }
+
     /// Goes on after a response that can't be read.
     async fn repeat_or_fail(mut self, upstream: Box<Upstream>, cause: &str) -> Forwarded {
         warn!(request = self.id; "failed to read the response: {cause}");
--- a/chestnutstage_gateway/src/liveness.rs
+++ b/chestnutstage_gateway/src/liveness.rs
@@ -18,12 +18,12 @@
 const PROBE_DELAY: Duration = Duration::from_secs(1);
 /// Timeout of a probe: several round trips between zones.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
-/// Pause between the probes of a suspect engine.
-const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between the starts of two probes of a suspect engine.
+const SUSPECT_INTERVAL: Duration = Duration::from_millis(650);
 /// Consecutive failed probes after which an engine is suspect; one report may be lost in transit.
 const SUSPECT_FAILURES: u32 = 2;
-/// Time for which all probes have to fail before an engine counts as lost.
-const LOST_TIME: Duration = Duration::from_secs(3);
+/// Consecutive failed probes after which an engine counts as lost.
+const LOST_FAILURES: u32 = 6;
 
 /// What the probes of an engine say.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,20 +42,12 @@
     /// Probe in progress with the time of its start; its output is whether a report came.
     running: Option<(Instant, BoxFuture<'static, bool>)>,
     failures: u32,
-    failing_since: Instant,
 }
 
 impl LivenessProbe {
     pub(crate) fn new(engines: &Arc<dyn Engines>, address: SocketAddr) -> Self {
-        let now = Instant::now();
-        Self {
-            engines: engines.clone(),
-            address,
-            next_probe: now + PROBE_DELAY,
-            running: None,
-            failures: 0,
-            failing_since: now,
-        }
+        let next_probe = Instant::now() + PROBE_DELAY;
+        Self { engines: engines.clone(), address, next_probe, running: None, failures: 0 }
     }
 
     /// Records that the engine has sent data.
@@ -85,13 +77,10 @@
                 self.record_data();
                 continue;
             }
-            if self.failures == 0 {
-                self.failing_since = asked;
-            }
             self.failures += 1;
-            self.next_probe =
-                Instant::now() + if self.is_suspect() { PROBE_INTERVAL } else { Duration::ZERO };
-            if self.failing_since.elapsed() >= LOST_TIME {
+            // The pause is the same for a probe that fails at once.
+            self.next_probe = asked + if self.is_suspect() { SUSPECT_INTERVAL } else { PROBE_TIMEOUT };
+            if self.failures >= LOST_FAILURES {
                 return Reachability::Lost;
             }
             if self.failures == SUSPECT_FAILURES {
--- a/chestnutstage_gateway/src/shared.rs
+++ b/chestnutstage_gateway/src/shared.rs
@@ -89,6 +89,11 @@
         budget.retry(0).is_some()
     }
 
+    /// Returns a retry that was taken and not used.
+    pub(crate) fn return_retry(&self) {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner).give_back();
+    }
+
     /// Whether this instance's share of the budget holds a retry.
     pub(crate) fn has_retry(&self) -> bool {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner).has_retry()
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -8,8 +8,9 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use chestnutstage_core::catalog::Repeat;
+use chestnutstage_core::relay::Relay;
 use futures::stream::unfold;
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
@@ -50,6 +51,8 @@
     longest_gap: Duration,
     /// Failover attempts since the last event because of stalls.
     stall_failovers: u32,
+    /// Whether the silence of the current upstream was reported as a failure.
+    reported: bool,
 }
 
 /// Result of reading from the endpoint's stream.
@@ -83,6 +86,7 @@
         started: false,
         longest_gap: Duration::ZERO,
         stall_failovers: 0,
+        reported: false,
     };
     let first = match stream.next().await {
         Some(Err(cause)) => {
@@ -251,31 +255,50 @@
         exchange.deadline.min(self.last_progress + timeout)
     }
 
-    /// Tries another endpoint beside one that sends nothing: it may be in a long prefill, or go on after a while. Returns
-    /// the data that it sends before the other endpoint responds.
+    /// Tries another endpoint beside one that sends nothing: it may be in a long prefill, or go on after a while. The first
+    /// one is left once the other has sent a whole event; a failure of one of the two does not end the other. Returns the next
+    /// data of the stream, if any.
     async fn fail_over(&mut self, cause: &'static str) -> Option<Data> {
         self.stall_failovers += 1;
         self.last_progress = Instant::now();
         let suspect = self.upstream.as_ref().is_some_and(|upstream| upstream.probe.is_suspect());
-        if !suspect && self.exchange.relay.partial_len() > 0 || !self.exchange.may_repeat() {
+        let inside_event = self.exchange.relay.partial_len() > 0;
+        if inside_event && !suspect || !self.exchange.may_repeat() {
             return None;
         }
         let upstream = self.upstream.as_mut()?;
-        if suspect {
+        if suspect && !std::mem::replace(&mut self.reported, true) {
             self.exchange.shared.report_failure(upstream.key).await;
         }
-        let attempt = tokio::select! {
-            biased;
-            data = upstream.next_data() => return Some(data),
-            attempt = self.exchange.attempt() => attempt,
+        let sends = self.exchange.sends;
+        let (first, takeover) = {
+            let mut first = None;
+            let mut takeover = Box::pin(take_over(&mut self.exchange));
+            loop {
+                tokio::select! {
+                    biased;
+                    data = upstream.next_data(), if first.is_none() => match data {
+                        Some(Ok(_)) => return Some(data),
+                        None if !inside_event => return Some(data),
+                        _ => first = Some(data),
+                    },
+                    takeover = &mut takeover => break (first, takeover),
+                }
+            }
         };
-        match attempt {
-            Attempt::Responded(other) if other.head.status.is_success() => self.switch_upstream(other, cause),
-            other => {
-                info!(request = self.exchange.id, cause = other.to_string(); "no other endpoint took over; waiting on");
+        if self.exchange.sends == sends {
+            self.exchange.shared.return_retry();
+        }
+        match takeover {
+            Ok((other, start)) => {
+                self.switch_upstream(other, cause);
+                Some(Some(Ok(start)))
+            }
+            Err(cause) => {
+                info!(request = self.exchange.id, cause; "no other endpoint took over; waiting on");
+                first
             }
         }
-        None
     }
 
     /// Continues after the last whole event with the stream of another endpoint.
@@ -288,6 +311,7 @@
         self.last_progress = Instant::now();
         self.stall_failovers = 0;
         self.started = false;
+        self.reported = false;
     }
 
     /// Resumes a broken stream at another endpoint; returns whether that was possible.
@@ -321,3 +345,24 @@
         }
     }
 }
+
+/// Sends the request to another endpoint and waits for a whole event. Returns the endpoint's stream and what was read of it.
+async fn take_over(exchange: &mut Exchange) -> Result<(Box<Upstream>, Bytes), String> {
+    let mut upstream = match exchange.attempt().await {
+        Attempt::Responded(upstream) if upstream.is_success() => upstream,
+        other => return Err(other.to_string()),
+    };
+    let mut start = BytesMut::new();
+    while !Relay::has_event(&start) {
+        match timeout_at(exchange.deadline, upstream.next_data()).await {
+            Ok(Some(Ok(data))) if start.len() + data.len() <= EVENT_BYTES_MAX => {
+                start.extend_from_slice(&data);
+            }
+            Ok(Some(Ok(_))) => return Err(format!("an event is larger than {EVENT_BYTES_MAX} bytes")),
+            Ok(Some(Err(e))) => return Err(e.to_string()),
+            Ok(None) => return Err("the stream ended before its first event".into()),
+            Err(_) => return Err("the deadline passed".into()),
+        }
+    }
+    Ok((upstream, start.freeze()))
+}
--- a/chestnutstage_gateway/tests/common/backend.rs
+++ b/chestnutstage_gateway/tests/common/backend.rs
@@ -24,6 +24,8 @@
     Bytes(String),
     /// Sends these bytes and closes the connection.
     Truncate(String),
+    /// Sends these bytes and closes the connection after a time without data.
+    Abandon(Duration, String),
     /// Sends these bytes, then nothing, and keeps the connection open.
     Hang(String),
     /// Sends the first part, then the second part again and again until the connection is closed.
@@ -119,6 +121,11 @@
                         return;
                     }
                 }
+                Reply::Abandon(time, bytes) => {
+                    stream.write_all(bytes.as_bytes()).await.unwrap();
+                    tokio::time::sleep(time).await;
+                    return;
+                }
                 Reply::Resume(_, rest) if resumes => stream.write_all(rest.as_bytes()).await.unwrap(),
                 Reply::Bytes(bytes) => stream.write_all(bytes.as_bytes()).await.unwrap(),
                 Reply::Truncate(bytes) | Reply::Resume(bytes, _) => {
--- a/chestnutstage_gateway/tests/request_outcomes.rs
+++ b/chestnutstage_gateway/tests/request_outcomes.rs
@@ -164,3 +164,22 @@
     assert_eq!(response.status(), StatusCode::GATEWAY_TIMEOUT, "outcome unknown, not rejected");
     assert_eq!(backend.requests().len(), 1);
 }
+
+/// The only endpoint closes the connection after the key was revoked. The rejection of the second attempt must not report the
+/// request as not run.
+#[tokio::test]
+async fn rejection_after_failure() {
+    let backend = Backend::start(vec![Reply::Abandon(Duration::from_secs(2), String::new())]).await;
+    let listings = vec![listing("d1", "desk", backend.address), listing("d2", "desk", backend.address)];
+    let harness = Harness::start(listings).await;
+    let sending = tokio::spawn(harness.request(Method::GET, "/look/x").send());
+    while backend.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut next = catalog(2);
+    next.customers[0].keys = vec!["another".into()];
+    harness.store.publish(Topic::Operators, vec![Fact::Catalog(Box::new(next))]);
+    let response = sending.await.unwrap().unwrap();
+    assert_eq!(response.status(), StatusCode::BAD_GATEWAY, "outcome unknown, not rejected");
+    assert_eq!(backend.requests().len(), 1);
+}
--- a/chestnutstage_gateway/tests/silent_endpoints.rs
+++ b/chestnutstage_gateway/tests/silent_endpoints.rs
@@ -82,6 +82,7 @@
     let response = post(&harness, "/archive/x").await;
     harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("e2", "llm", full.address))]);
     assert_eq!(response.text().await.unwrap(), events(1..=4));
+    assert_eq!(full.requests().len(), 1, "the other engine was tried");
 }
 
 /// The engine goes on while another one has accepted the stream but sent nothing yet.
@@ -138,3 +139,62 @@
     assert_eq!(sending.await.unwrap().unwrap().text().await.unwrap(), "other");
     silent.closed.notified().await;
 }
+
+/// The silent endpoint fails while another one works on the request.
+#[tokio::test]
+async fn first_fails_late() {
+    let silent = Backend::start(vec![Reply::Abandon(SILENCE, String::new())]).await;
+    let slow = Reply::Pause(SILENCE, String::new(), answer("200 OK", "x-seal: s\r\n", "other"));
+    let other = Backend::start(vec![slow]).await;
+    let harness = Harness::start(vec![listing("d1", "desk", silent.address)]).await;
+    let sending = tokio::spawn(harness.request(Method::GET, "/look/x").send());
+    while silent.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("d2", "desk", other.address))]);
+    assert_eq!(sending.await.unwrap().unwrap().text().await.unwrap(), "other");
+    assert_eq!(silent.requests().len(), 1);
+}
+
+/// The stream of the silent engine breaks while another engine reads the prompt.
+#[tokio::test]
+async fn stream_fails_late() {
+    let silent = Backend::start(vec![Reply::Abandon(SILENCE, stream(1..=2))]).await;
+    let head_length = stream(1..=2).find("\r\n\r\n").unwrap() + 4;
+    let later = stream(1..=2)[..head_length].to_owned() + &stream(1..=4)[stream(1..=2).len()..] + END;
+    let other = Backend::start(vec![Reply::Pause(SILENCE, String::new(), later)]).await;
+    let harness = Harness::start(vec![listing("e1", "llm", silent.address)]).await;
+    let response = post(&harness, "/chat/x").await;
+    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("e2", "llm", other.address))]);
+    assert_eq!(response.text().await.unwrap(), events(1..=4));
+    assert_eq!(other.requests().len(), 1);
+}
+
+/// The other endpoint fails, and the silent one goes on.
+#[tokio::test]
+async fn replacement_fails() {
+    let slow = Reply::Pause(SILENCE, String::new(), answer("200 OK", "x-seal: s\r\n", "first"));
+    let silent = Backend::start(vec![slow]).await;
+    let failing = Backend::start(vec![Reply::Bytes(answer("500 Broken", "x-seal: s\r\n", "no"))]).await;
+    let harness = Harness::start(vec![listing("d1", "desk", silent.address)]).await;
+    let sending = tokio::spawn(harness.request(Method::GET, "/look/x").send());
+    while silent.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("d2", "desk", failing.address))]);
+    assert_eq!(sending.await.unwrap().unwrap().text().await.unwrap(), "first");
+    assert_eq!(failing.requests().len(), 1, "the other endpoint was tried");
+}
+
+/// The other engine sends a head and breaks, and the silent one goes on.
+#[tokio::test]
+async fn replacement_breaks() {
+    let silent = Backend::start(vec![interrupted_stream()]).await;
+    let head_length = stream(1..=2).find("\r\n\r\n").unwrap() + 4;
+    let broken = Backend::start(vec![Reply::Truncate(stream(1..=2)[..head_length].to_owned())]).await;
+    let harness = Harness::start(vec![listing("e1", "llm", silent.address)]).await;
+    let response = post(&harness, "/chat/x").await;
+    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("e2", "llm", broken.address))]);
+    assert_eq!(response.text().await.unwrap(), events(1..=4));
+    assert_eq!(broken.requests().len(), 1, "the other engine was tried");
+}
