A rejection does not wait for a body that is late or not coming

What callers saw: 503 a second after the deadline of a request whose body had not arrived, and `100 Continue` for a body that was then thrown away. Both came with the reading of bodies before a rejection.

Evidence: `late_body` and `refusal_before_continue` failed on the former code.

Change: the rest of a body is read only if the caller sends it unasked and its deadline has not passed.

--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -96,11 +96,14 @@
     let id = header_text(&parts.headers, &shared.adapters.header_format.names().attempt)
         .unwrap_or_default()
         .to_owned();
+    let expects = parts.headers.contains_key(EXPECT);
     let mut unanswered = Unanswered { request: id.clone(), arrived, answered: false };
     let response = match Exchange::begin(shared, id.clone(), parts, &mut body, arrived, active).await {
         Ok(exchange) => exchange.run().await,
         Err(rejection) => {
-            let drained = drain_body(&mut body).await;
+            // A caller that waits for permission sends no body, and one whose body came too late is not waited for longer.
+            let waits = expects || rejection.0 == Reason::Overloaded;
+            let drained = !waits && drain_body(&mut body).await;
             let mut response = reject(&id, rejection, "rejected before placement");
             if !drained {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/chestnutstage_gateway/tests/caller_connections.rs
+++ b/chestnutstage_gateway/tests/caller_connections.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Longest wait for a response.
 const RESPONSE_TIME_MAX: Duration = Duration::from_secs(5);
@@ -144,3 +144,23 @@
     assert!(bytes.len() > served * body.len(), "all responses arrived whole");
     timeout(RESPONSE_TIME_MAX, stopping).await.expect("the instance stops").unwrap();
 }
+
+/// A caller that waits for permission to send its body gets the refusal, not the permission.
+#[tokio::test]
+async fn refusal_before_continue() {
+    let (_harness, mut caller) = connect(Duration::from_secs(15)).await;
+    let expecting = head("/gone/x", 3_000).replacen("x-key:", "expect: 100-continue\r\nx-key:", 1);
+    caller.write_all(expecting.as_bytes()).await.unwrap();
+    assert_eq!(read_status(&mut caller).await, "HTTP/1.1 404 Not Found");
+}
+
+/// A body that is not complete at the deadline of its request is not waited for any longer.
+#[tokio::test]
+async fn late_body() {
+    let (_harness, mut caller) = connect(Duration::from_secs(15)).await;
+    let begun = Instant::now();
+    let late = head("/look/x", 3_000).replacen("x-key:", "x-remaining: 1000\r\nx-key:", 1);
+    caller.write_all(late.as_bytes()).await.unwrap();
+    assert_eq!(read_status(&mut caller).await, "HTTP/1.1 503 Service Unavailable");
+    assert!(begun.elapsed() < Duration::from_millis(1_800), "{:?}", begun.elapsed());
+}
