A stream of undeclared length that ends before its first event counts as broken

What callers saw: an empty stream with a regular end, where an engine had ended between its head and its first event.

Evidence: `cut_before_event` got status 200 and a regular end on the former code.

Change: where only the end of the connection marks the end of a stream, one without any event was broken off.

--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -13,6 +13,7 @@
 use chestnutstage_core::relay::Relay;
 use futures::stream::unfold;
 use http::Response;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body as _, Frame};
 use log::{info, warn};
@@ -179,6 +180,13 @@
         }
     }
 
+    /// Whether only the end of the connection marks the end of the response.
+    fn ends_with_connection(&self) -> bool {
+        let Some(upstream) = &self.upstream else { return false };
+        let headers = &upstream.head.headers;
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Handles data of the stream; returns `None` if that completes no event.
     fn accept(&mut self, data: Data) -> Option<ReadOutcome> {
         let has_events = self.exchange.route.repeat.is_stream();
@@ -188,6 +196,9 @@
             None if has_events && self.exchange.relay.partial_len() > 0 => {
                 return Some(ReadOutcome::Broken("the stream ended inside an event".into()));
             }
+            None if has_events && self.exchange.relay.event_count() == 0 && self.ends_with_connection() => {
+                return Some(ReadOutcome::Broken("the connection ended before the first event".into()));
+            }
             None => return Some(ReadOutcome::End),
         };
         if let Some(upstream) = &mut self.upstream {
--- a/chestnutstage_gateway/tests/undeclared_length.rs
+++ b/chestnutstage_gateway/tests/undeclared_length.rs
@@ -48,6 +48,17 @@
     assert_eq!(text, events(1..=5));
 }
 
+/// An engine ends between its head and its first event. Without a length, only the missing events tell.
+#[tokio::test]
+async fn cut_before_event() {
+    for path in ["/chat/x", "/tape/x"] {
+        let backend = Backend::start(vec![Reply::Truncate(HEAD.to_owned())]).await;
+        let harness = Harness::start(vec![listing("e1", "llm", backend.address)]).await;
+        let request = harness.request(Method::POST, path).header("x-tokens", "100").body("prompt");
+        assert_eq!(request.send().await.unwrap().status(), StatusCode::BAD_GATEWAY, "{path}");
+    }
+}
+
 #[tokio::test]
 async fn whole_call() {
     let backend = Backend::start(vec![Reply::Truncate(HEAD.to_owned() + "done")]).await;
