A request is not sent in the name of a customer to whom its key no longer belongs

What could happen: the operators move a key to another customer while a request waits; the request was then sent with the former one's name.

Change: the check right before the send compares the customer, and does not send if it differs.

--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -354,7 +354,9 @@
             return Some(Attempt::Rejected((Reason::ConfigurationUnknown, Some(DEFAULT_RETRY_DELAY))));
         };
         match find_customer(&self.shared, &directory, &self.route, self.key.as_deref()) {
-            Ok(_) => None,
+            Ok(customer) if customer == self.customer => None,
+            // The key has moved to another customer since the request was admitted.
+            Ok(_) => Some(Attempt::Rejected((Reason::ConfigurationUnknown, Some(DEFAULT_RETRY_DELAY)))),
             Err(rejection) => Some(Attempt::Rejected(rejection)),
         }
     }
--- a/chestnutstage_gateway/tests/silent_endpoints.rs
+++ b/chestnutstage_gateway/tests/silent_endpoints.rs
@@ -198,3 +198,23 @@
     assert_eq!(response.text().await.unwrap(), events(1..=4));
     assert_eq!(broken.requests().len(), 1, "the other engine was tried");
 }
+
+/// A key moves to another customer while a request waits. Nothing more is sent in the name of the former one.
+#[tokio::test]
+async fn key_changes_owner() {
+    let slow = Reply::Pause(SILENCE, String::new(), answer("200 OK", "x-seal: s\r\n", "first"));
+    let silent = Backend::start(vec![slow]).await;
+    let other = Backend::start(vec![success("other")]).await;
+    let harness = Harness::start(vec![listing("d1", "desk", silent.address)]).await;
+    let sending = tokio::spawn(harness.request(Method::GET, "/look/x").send());
+    while silent.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut next = catalog(2);
+    next.customers[0].id = "village".into();
+    harness.store.publish(Topic::Operators, vec![Fact::Catalog(Box::new(next))]);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("d2", "desk", other.address))]);
+    assert_eq!(sending.await.unwrap().unwrap().text().await.unwrap(), "first");
+    assert!(other.requests().is_empty(), "{:?}", other.requests());
+}
