Quarantine of prompt parts that end engines: the decisions

Cause: a prompt with a certain part ends each engine that begins to answer it, and every instance sees only its own connections break. Change: a state machine in the core, not wired to the gateway yet. Instances record crashes and progress by the digest of the part and exchange them as reports. Six points without recent progress convict, 16 over 5 s with it; crashes that a convicted part explains do not count against others. Recent progress is measured from the decisive crash, not from now, so that an outage without answers convicts no shared part. Progress that a slow peer reports after the conviction is weighed too. The transit of a report is taken off its times by the crashes that both sides know; else repeated reports move progress past the crashes that followed it.

--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod pause;
 pub mod planners;
 pub mod pool;
+pub mod quarantine;
 pub mod queue;
 pub mod rate;
 pub mod relay;
--- /dev/null
+++ b/chestnutstage_core/src/quarantine/report.rs
@@ -0,0 +1,106 @@
+//! Exchange of what instances know of parts under which engines ended.
+//!
+//! Reports carry ages, and instances pass on what they heard. The transit of a report makes its times seem later; where
+//! a crash is known by an earlier time, that difference is taken off the report's other times too. So repeated reports
+//! never move progress past a crash that it preceded.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::suspect::{CRASHES_MAX, Suspect};
+use super::{Evidence, PromptPart, Quarantine, SUSPECT_TTL, local};
+use crate::pool::Key;
+use crate::time::Time;
+
+/// Maximum number of parts reported at once.
+pub const REPORTS_MAX: usize = 32;
+
+/// What an instance knows of a part; ages are in milliseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PartReport {
+    /// The part.
+    pub part: PromptPart,
+    /// Largest position in a prompt.
+    pub position: u8,
+    /// Engines that ended under the part, each with the age of the crash.
+    pub crashes: Vec<(Key, u32, Evidence)>,
+    /// Age of the latest progress.
+    pub answered: Option<u32>,
+    /// Age of the conviction.
+    pub convicted: Option<u32>,
+    /// Age of the latest trial, and the number of trials so far.
+    pub trial: Option<(u32, u32)>,
+    /// Age of the last refused request.
+    pub refused: Option<u32>,
+}
+
+impl PartReport {
+    fn new(now: Time, part: PromptPart, suspect: &Suspect) -> Self {
+        let age = |time: Time| u32::try_from(now.since(time).as_millis()).unwrap_or(u32::MAX);
+        Self {
+            part,
+            position: suspect.position,
+            crashes: suspect.crashes.iter().map(|(key, c)| (*key, age(c.time), c.evidence)).collect(),
+            answered: suspect.answered.map(age),
+            convicted: suspect.convicted.map(age),
+            trial: suspect.trial.map(|(time, number)| (age(time), number)),
+            refused: suspect.refused.map(age),
+        }
+    }
+
+    fn is_expired(&self) -> bool {
+        let crashes = self.crashes.iter().map(|(_, age, _)| *age);
+        let last = crashes.chain(self.trial.map(|(age, _)| age)).chain(self.refused).min();
+        last.is_none_or(|age| Duration::from_millis(age.into()) >= SUSPECT_TTL)
+    }
+}
+
+impl Quarantine {
+    /// Parts with crashes, for the peers: convicted ones first, then those with the most points.
+    pub fn reports(&mut self, now: Time) -> Vec<PartReport> {
+        let now = local(now);
+        self.judge(now);
+        let mut suspects: Vec<_> = self.suspects.iter().collect();
+        // Crashes before the latest progress count here, so that peers learn of the progress.
+        suspects.sort_by_key(|(_, suspect)| Reverse((suspect.convicted.is_some(), suspect.total())));
+        suspects
+            .iter()
+            .take(REPORTS_MAX)
+            .map(|(part, suspect)| PartReport::new(now, **part, suspect))
+            .collect()
+    }
+
+    /// Applies the reports of a peer. They are judged together with all others that arrive before the next check.
+    pub fn apply(&mut self, now: Time, reports: &[PartReport]) {
+        let now = local(now);
+        for report in reports.iter().take(REPORTS_MAX).filter(|report| !report.is_expired()) {
+            self.suspect(report.part).merge(now, report);
+        }
+        self.bound_suspects();
+        self.judge_at = Time::ZERO;
+    }
+}
+
+impl Suspect {
+    fn merge(&mut self, now: Time, report: &PartReport) {
+        let received = |age: u32| now - Duration::from_millis(age.into());
+        let mut delay = Duration::ZERO;
+        for (engine, age, evidence) in report.crashes.iter().take(CRASHES_MAX) {
+            let known = self.add_crash(*engine, received(*age), *evidence);
+            delay = delay.max(received(*age).since(known));
+        }
+        let at = |age: u32| received(age) - delay;
+        self.position = self.position.max(report.position);
+        self.answered = self.answered.max(report.answered.map(at));
+        self.refused = self.refused.max(report.refused.map(at));
+        self.convicted = self.convicted.into_iter().chain(report.convicted.map(at)).min();
+        if let Some((age, number)) = report.trial {
+            let earlier = self.trial.filter(|(_, known)| *known == number).map(|(time, _)| time);
+            if number >= self.trials() {
+                self.trial = Some((earlier.map_or(at(age), |time| time.min(at(age))), number));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/chestnutstage_core/src/quarantine/suspect.rs
@@ -0,0 +1,134 @@
+//! Crashes and progress under one part, and what follows from them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::time::Duration;
+
+use super::{ANSWERED_MEMORY, Evidence, TRIAL_WAIT, TRIAL_WAIT_MAX};
+use crate::pool::Key;
+use crate::time::Time;
+
+/// Points at which a part without recent progress is convicted.
+const POINTS_MIN: u32 = 6;
+/// Points at which a part with recent progress is convicted.
+const ANSWERED_POINTS_MIN: u32 = 16;
+/// Time that the crashes under a part with recent progress must span.
+pub(super) const CRASH_SPAN_MIN: Duration = Duration::from_secs(5);
+/// Maximum number of crashes recorded under one part; the oldest are dropped.
+pub const CRASHES_MAX: usize = 16;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Crash {
+    pub time: Time,
+    pub evidence: Evidence,
+}
+
+/// A part under which engines ended.
+#[derive(Debug, Default)]
+pub(super) struct Suspect {
+    /// Largest position in a prompt.
+    pub position: u8,
+    pub crashes: BTreeMap<Key, Crash>,
+    pub answered: Option<Time>,
+    pub convicted: Option<Time>,
+    /// Latest trial, and the number of trials so far.
+    pub trial: Option<(Time, u32)>,
+    pub refused: Option<Time>,
+    /// Whether the conviction was returned as a change.
+    pub announced: bool,
+}
+
+impl Suspect {
+    /// Records a crash, and returns the earliest time that is known of it.
+    pub fn add_crash(&mut self, engine: Key, time: Time, evidence: Evidence) -> Time {
+        let crash = self.crashes.entry(engine).or_insert(Crash { time, evidence });
+        *crash = Crash { time: crash.time.min(time), evidence: crash.evidence.max(evidence) };
+        let time = crash.time;
+        if self.crashes.len() > CRASHES_MAX {
+            let oldest = self.crashes.iter().map(|(key, crash)| (crash.time, *key)).min();
+            self.crashes.retain(|key, _| Some(*key) != oldest.map(|(_, key)| key));
+        }
+        time
+    }
+
+    /// Crashes later than the latest progress that are not `explained` by another part, oldest first.
+    pub fn effective(&self, explained: &BTreeSet<Key>) -> Vec<Crash> {
+        let later = self.crashes.iter().filter(|(_, crash)| Some(crash.time) > self.answered);
+        let mut crashes: Vec<_> =
+            later.filter(|(key, _)| !explained.contains(key)).map(|(_, c)| *c).collect();
+        crashes.sort_unstable();
+        crashes
+    }
+
+    /// Time of the crash with which `crashes` suffice for a conviction. Progress counts as recent by the time of the
+    /// crash: after an outage there is none for long.
+    pub fn decisive(&self, crashes: &[Crash], span: Duration) -> Option<Time> {
+        let first = crashes.first()?.time;
+        let is_decisive = |(i, crash): &(usize, &Crash)| {
+            let points = points(&crashes[..=*i]);
+            (points >= POINTS_MIN && !self.was_answered(crash.time))
+                || (points >= ANSWERED_POINTS_MIN && crash.time.since(first) >= span)
+        };
+        crashes.iter().enumerate().find(is_decisive).map(|(_, crash)| crash.time)
+    }
+
+    /// Whether progress was recent at the time of a crash.
+    pub fn was_answered(&self, crash: Time) -> bool {
+        self.answered.is_some_and(|time| crash.since(time) <= ANSWERED_MEMORY)
+    }
+
+    /// Lifts the conviction if it does not stand up to the latest progress, and forgets trials before that.
+    pub fn review(&mut self) {
+        // Crashes that proved the span may have been dropped since.
+        if self.decisive(&self.effective(&BTreeSet::new()), Duration::ZERO).is_none() {
+            self.convicted = None;
+            self.refused = None;
+        }
+        self.trial = self.trial.filter(|(time, _)| self.convicted.is_some() && Some(*time) > self.answered);
+    }
+
+    pub fn last_crash(&self) -> Option<Time> {
+        self.crashes.values().map(|crash| crash.time).max()
+    }
+
+    /// Time of the last crash, trial or refused request.
+    pub fn last_event(&self) -> Option<Time> {
+        self.last_crash().max(self.trial.map(|(time, _)| time)).max(self.refused)
+    }
+
+    pub fn trials(&self) -> u32 {
+        self.trial.map_or(0, |(_, number)| number)
+    }
+
+    /// Time of the next trial.
+    pub fn trial_due(&self) -> Time {
+        let last = self.last_crash().max(self.trial.map(|(time, _)| time)).unwrap_or_default();
+        last + TRIAL_WAIT.saturating_mul(4_u32.saturating_pow(self.trials())).min(TRIAL_WAIT_MAX)
+    }
+
+    /// Points of all crashes.
+    pub fn total(&self) -> u32 {
+        self.crashes.values().map(|crash| crash.evidence.points()).sum()
+    }
+}
+
+impl fmt::Display for Suspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let state = if self.convicted.is_some() { "convicted" } else { "suspected" };
+        write!(f, "{state} position={} points={} trials={}", self.position, self.total(), self.trials())?;
+        self.crashes.iter().try_for_each(|(key, crash)| write!(f, " {key}={}", crash.evidence))
+    }
+}
+
+impl Evidence {
+    const fn points(self) -> u32 {
+        match self {
+            Self::Waiting => 1,
+            Self::Started => 2,
+        }
+    }
+}
+
+pub(super) fn points(crashes: &[Crash]) -> u32 {
+    crashes.iter().map(|crash| crash.evidence.points()).sum()
+}
