Reports of the quarantine carry recent changes only; trials of rare parts come sooner

A report names convicted parts in complete messages and others for two seconds after a change, so that many suspects after a loss of many engines don't fill every message. What a merge brings anew is passed on. A trial that is due may be admitted by twice as many members every two seconds, since the member whose turn it is may never see a request with the part. The check before a placement and the admission right before the send are two calls, so that a refused placement spends no trial.

--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -84,6 +84,9 @@
     /// Not enough KV memory for the prompt.
     #[display("no memory")]
     NoMemory,
+    /// The prompt contains a part that ends engines.
+    #[display("quarantined part")]
+    Quarantined,
 }
 
 /// Refusal of a request that can't be placed.
--- a/chestnutstage_core/src/quarantine/mod.rs
+++ b/chestnutstage_core/src/quarantine/mod.rs
@@ -30,14 +30,20 @@
 pub const ANSWERED_MEMORY: Duration = Duration::from_mins(1);
 /// Age of the decisive crash at a conviction; peers that have seen progress tell in that time.
 pub const OBJECTION_TIME: Duration = Duration::from_millis(500);
-/// Time after the last crash, trial or refused request at which a part is forgotten.
-pub const SUSPECT_TTL: Duration = Duration::from_mins(10);
+/// Time after which a crash under a part that is not convicted is forgotten.
+pub const SUSPECT_TTL: Duration = Duration::from_mins(1);
+/// Time after the last crash, trial or refused request at which a conviction is forgotten.
+pub const CONVICTED_TTL: Duration = Duration::from_mins(10);
+/// Time for which a change is repeated in the reports.
+pub const REPEAT_TIME: Duration = Duration::from_secs(2);
 /// Wait for the first trial; quadruples with each one.
 const TRIAL_WAIT: Duration = Duration::from_secs(10);
 /// Longest wait for a trial.
 const TRIAL_WAIT_MAX: Duration = Duration::from_mins(10);
-/// Time for which one member may admit a trial.
-const TRIAL_SLOT: Duration = Duration::from_secs(1);
+/// Time after which twice as many members may admit a trial that is due.
+const TRIAL_SLOT: Duration = Duration::from_secs(2);
+/// Largest number of such doublings.
+const TURN_DOUBLINGS_MAX: u128 = 10;
 /// Shortest time that a refused request is asked to wait.
 const RETRY_MIN: Duration = Duration::from_secs(1);
 /// Maximum number of parts recorded with crashes.
@@ -153,6 +159,7 @@
             let suspect = self.suspect(*part);
             suspect.position = suspect.position.max(position);
             suspect.add_crash(engine, now, evidence);
+            suspect.changed = now;
         }
         self.bound_suspects();
         self.judge_at = Time::ZERO;
@@ -169,38 +176,57 @@
             if let Some(suspect) = self.suspects.get_mut(part) {
                 if suspect.last_crash() > suspect.answered {
                     self.judge_at = Time::ZERO;
+                    suspect.changed = now;
                 }
                 suspect.answered = suspect.answered.max(Some(now));
             }
         }
     }
 
-    /// Decides whether a request may be sent to an engine. One with convicted parts may be admitted as a trial.
+    /// Decides whether a request may be placed: it contains no convicted part, or may be a trial of those that it contains.
     ///
     /// # Errors
-    /// Returns the verdict on the part with the longest wait if the request contains convicted parts.
+    ///
+    /// The verdict on the part with the longest wait.
     pub fn check(&mut self, now: Time, parts: &[PromptPart]) -> Result<(), Verdict> {
+        self.check_convicted(local(now), parts).map(|_| ())
+    }
+
+    /// Decides the same right before the request is sent, and records the trial if it is one.
+    ///
+    /// # Errors
+    ///
+    /// The verdict on the part with the longest wait.
+    pub fn admit(&mut self, now: Time, parts: &[PromptPart]) -> Result<(), Verdict> {
         let now = local(now);
+        for part in self.check_convicted(now, parts)? {
+            let suspect = self.suspect(part);
+            let number = suspect.trials() + 1;
+            suspect.trial = Some((now, number));
+            suspect.changed = now;
+            self.changes.push(Change::Trial { part, number });
+        }
+        Ok(())
+    }
+
+    /// Convicted parts among these, if all of them may have a trial.
+    fn check_convicted(&mut self, now: Time, parts: &[PromptPart]) -> Result<BTreeSet<PromptPart>, Verdict> {
         self.judge(now);
         let is_convicted = |p: &PromptPart| self.suspects.get(p).is_some_and(|s| s.convicted.is_some());
         let convicted: BTreeSet<_> = parts.iter().copied().filter(is_convicted).collect();
-        let admitted = convicted.iter().all(|part| self.is_turn(now, *part));
+        if convicted.iter().all(|part| self.is_turn(now, *part)) {
+            return Ok(convicted);
+        }
         let mut verdict: Option<Verdict> = None;
         for part in convicted {
-            let Some(suspect) = self.suspects.get_mut(&part) else { continue };
-            if admitted {
-                let number = suspect.trials() + 1;
-                suspect.trial = Some((now, number));
-                self.changes.push(Change::Trial { part, number });
-                continue;
-            }
+            let suspect = self.suspect(part);
             suspect.refused = Some(now);
             let retry = suspect.trial_due().since(now).clamp(RETRY_MIN, TRIAL_WAIT_MAX);
             if verdict.is_none_or(|v| v.retry < retry) {
                 verdict = Some(Verdict { part, retry, crashes: suspect.crashes.len() });
             }
         }
-        verdict.map_or(Ok(()), Err)
+        verdict.map_or(Ok(BTreeSet::new()), Err)
     }
 
     /// Takes the changes since the last call.
@@ -214,10 +240,11 @@
         self.answered.retain(|_, time| now.since(*time) <= ANSWERED_MEMORY);
         let changes = &mut self.changes;
         self.suspects.retain(|part, suspect| {
+            let ttl = if suspect.convicted.is_some() { CONVICTED_TTL } else { SUSPECT_TTL };
             if suspect.convicted.is_none() {
-                suspect.crashes.retain(|_, crash| now.since(crash.time) < SUSPECT_TTL);
+                suspect.crashes.retain(|_, crash| now.since(crash.time) < ttl);
             }
-            let kept = suspect.last_event().is_some_and(|time| now.since(time) < SUSPECT_TTL);
+            let kept = suspect.last_event().is_some_and(|time| now.since(time) < ttl);
             if !kept && suspect.announced {
                 changes.push(Change::Expired { part: *part });
             }
@@ -270,25 +297,31 @@
             let part = *part;
             match (suspect.announced, suspect.convicted.is_some()) {
                 (false, true) => {
+                    suspect.changed = now;
                     let crashes = suspect.crashes.keys().copied().collect();
                     let answered = suspect.answered.map(|time| now.since(time));
                     self.changes.push(Change::Convicted { part, crashes, answered });
                 }
-                (true, false) => self.changes.push(Change::Acquitted { part }),
+                (true, false) => {
+                    suspect.changed = now;
+                    self.changes.push(Change::Acquitted { part });
+                }
                 _ => {}
             }
             suspect.announced = suspect.convicted.is_some();
         }
     }
 
-    /// Whether this instance may admit a trial. Slots count from the time at which it is due, since instances share
+    /// Whether this instance may admit a trial. Turns count from the time at which it is due, since instances share
     /// no clock.
     fn is_turn(&self, now: Time, part: PromptPart) -> bool {
         let Some(suspect) = self.suspects.get(&part) else { return false };
         let due = suspect.trial_due();
         let slot = now.since(due).as_millis() / TRIAL_SLOT.as_millis();
-        let key = format!("{part}/{}/{slot}", suspect.trials());
-        now >= due && rendezvous::is_among_top(1, &key, &self.own, &self.members)
+        let key = format!("{part}/{}", suspect.trials());
+        // A part that is rarely requested may not come by the member whose turn it is.
+        let turns = 1_usize << slot.min(TURN_DOUBLINGS_MAX);
+        now >= due && rendezvous::is_among_top(turns, &key, &self.own, &self.members)
     }
 
     /// Drops the parts whose last crash is the oldest, convicted ones last.
--- a/chestnutstage_core/src/quarantine/report.rs
+++ b/chestnutstage_core/src/quarantine/report.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::suspect::{CRASHES_MAX, Suspect};
-use super::{Evidence, PromptPart, Quarantine, SUSPECT_TTL, local};
+use super::{CONVICTED_TTL, Evidence, PromptPart, Quarantine, REPEAT_TIME, local};
 use crate::pool::Key;
 use crate::time::Time;
 
@@ -53,16 +53,18 @@
     fn is_expired(&self) -> bool {
         let crashes = self.crashes.iter().map(|(_, age, _)| *age);
         let last = crashes.chain(self.trial.map(|(age, _)| age)).chain(self.refused).min();
-        last.is_none_or(|age| Duration::from_millis(age.into()) >= SUSPECT_TTL)
+        last.is_none_or(|age| Duration::from_millis(age.into()) >= CONVICTED_TTL)
     }
 }
 
 impl Quarantine {
-    /// Parts with crashes, for the peers: convicted ones first, then those with the most points.
-    pub fn reports(&mut self, now: Time) -> Vec<PartReport> {
+    /// Parts with crashes, for the peers: convicted ones first, then those with the most points. Only those that changed
+    /// lately and, if `complete`, all convicted ones.
+    pub fn reports(&mut self, now: Time, complete: bool) -> Vec<PartReport> {
         let now = local(now);
         self.judge(now);
-        let mut suspects: Vec<_> = self.suspects.iter().collect();
+        let is_due = |s: &Suspect| (complete && s.convicted.is_some()) || now.since(s.changed) < REPEAT_TIME;
+        let mut suspects: Vec<_> = self.suspects.iter().filter(|(_, s)| is_due(s)).collect();
         // Crashes before the latest progress count here, so that peers learn of the progress.
         suspects.sort_by_key(|(_, suspect)| Reverse((suspect.convicted.is_some(), suspect.total())));
         suspects
@@ -85,6 +87,7 @@
 
 impl Suspect {
     fn merge(&mut self, now: Time, report: &PartReport) {
+        let before = self.knowledge();
         let received = |age: u32| now - Duration::from_millis(age.into());
         let mut delay = Duration::ZERO;
         for (engine, age, evidence) in report.crashes.iter().take(CRASHES_MAX) {
@@ -102,5 +105,8 @@
                 self.trial = Some((earlier.map_or(at(age), |time| time.min(at(age))), number));
             }
         }
+        if self.knowledge() != before {
+            self.changed = now;
+        }
     }
 }
--- a/chestnutstage_core/src/quarantine/suspect.rs
+++ b/chestnutstage_core/src/quarantine/suspect.rs
@@ -34,6 +34,8 @@
     /// Latest trial, and the number of trials so far.
     pub trial: Option<(Time, u32)>,
     pub refused: Option<Time>,
+    /// Latest change that the peers have to learn.
+    pub changed: Time,
     /// Whether the conviction was returned as a change.
     pub announced: bool,
 }
@@ -87,6 +89,13 @@
         self.trial = self.trial.filter(|(time, _)| self.convicted.is_some() && Some(*time) > self.answered);
     }
 
+    /// What peers have to learn when it changes.
+    pub fn knowledge(&self) -> impl PartialEq + use<> {
+        let crashes: Vec<_> = self.crashes.iter().map(|(key, crash)| (*key, crash.evidence)).collect();
+        let answered = (self.answered.is_some(), self.answered >= self.last_crash());
+        (crashes, answered, self.convicted.is_some(), self.trials())
+    }
+
     pub fn last_crash(&self) -> Option<Time> {
         self.crashes.values().map(|crash| crash.time).max()
     }
--- a/chestnutstage_core/tests/quarantine.rs
+++ b/chestnutstage_core/tests/quarantine.rs
@@ -48,7 +48,7 @@
 
 /// Sends the reports of each instance, made at `now`, to the others; they arrive 20 ms later.
 fn exchange(now: u64, fleet: &mut [Quarantine]) {
-    let sent: Vec<_> = fleet.iter_mut().map(|q| q.reports(at(now))).collect();
+    let sent: Vec<_> = fleet.iter_mut().map(|q| q.reports(at(now), true)).collect();
     for (i, receiver) in fleet.iter_mut().enumerate() {
         let others = sent.iter().enumerate().filter(|(j, _)| *j != i);
         others.for_each(|(_, reports)| receiver.apply(at(now + 20), reports));
@@ -56,7 +56,7 @@
 }
 
 fn refuses(quarantine: &mut Quarantine, now: u64, ids: &str) -> bool {
-    quarantine.check(at(now), &parts(ids)).is_err()
+    quarantine.admit(at(now), &parts(ids)).is_err()
 }
 
 /// An instance that knows of crashes of the engines 1, 2, ... under `ids` at `times`.
@@ -282,7 +282,7 @@
     assert!(refuses(&mut quarantine, 5_000, "bad"));
     quarantine.remove_expired(at(604_999));
     assert_eq!(quarantine.sizes().0, 1);
-    let old = quarantine.reports(at(604_999));
+    let old = quarantine.reports(at(604_999), true);
     quarantine.remove_expired(at(605_000));
     assert_eq!(quarantine.sizes().0, 0);
     assert_eq!(quarantine.take_changes().last(), Some(&Change::Expired { part: part("bad") }));
@@ -302,10 +302,10 @@
         quarantine.record_crash(at(70_000), engine(number), &parts("shared bad"), Started);
     }
     quarantine.record_progress(at(71_500), &parts("shared"));
-    let reports = quarantine.reports(at(73_000));
+    let reports = quarantine.reports(at(73_000), true);
     assert_eq!(reports.len(), 2);
     quarantine.apply(at(73_000), &reports);
-    assert_eq!(quarantine.reports(at(73_000)), reports, "idempotent");
+    assert_eq!(quarantine.reports(at(73_000), true), reports, "idempotent");
     let mut newcomer = Quarantine::new("i1".into());
     newcomer.apply(at(5), &reports);
     newcomer.apply(at(5), &reports);
@@ -327,7 +327,7 @@
     }
     let (suspects, answered) = quarantine.sizes();
     assert!(suspects == SUSPECTS_MAX && answered <= ANSWERED_MAX, "{suspects} {answered}");
-    let reports = quarantine.reports(at(6_000));
+    let reports = quarantine.reports(at(6_000), true);
     assert_eq!(reports.len(), REPORTS_MAX);
     assert_eq!((reports[0].part, reports[0].crashes.len()), (part("bad"), CRASHES_MAX), "convicted first");
     let long: Vec<_> = (0..100_000).map(|i| part(&i.to_string())).collect();
@@ -354,17 +354,17 @@
             let chosen: Vec<_> = (0..4).filter(|i| subset & (1 << i) != 0).map(|i| all[i]).collect();
             match kind {
                 0 => fleet[who].record_progress(at(now), &chosen),
-                1 => { let _ = fleet[who].check(at(now), &chosen); }
+                1 => { let _ = fleet[who].admit(at(now), &chosen); }
                 _ => fleet[who].record_crash(at(number * step), engine(number), &chosen, Started),
             }
         }
-        let reports: Vec<_> = fleet.iter_mut().map(|q| q.reports(at(now))).collect();
+        let reports: Vec<_> = fleet.iter_mut().map(|q| q.reports(at(now), true)).collect();
         let mut verdicts = [vec![0, 1, 2, 3], order.clone(), [order.clone(), order].concat()].map(|order| {
             let mut newcomer = Quarantine::new("i9".into());
             for i in order {
                 newcomer.apply(at(now), &reports[i]);
             }
-            let checks = [now, now + 600].map(|now| all.iter().map(|p| newcomer.check(at(now), &[*p])).collect::<Vec<_>>());
+            let checks = [now, now + 600].map(|now| all.iter().map(|p| newcomer.admit(at(now), &[*p])).collect::<Vec<_>>());
             (checks, newcomer.take_changes())
         });
         let expected = verdicts[0].clone();
