Prompts with a part that ends engines are refused

What callers saw: engines ended one after the other, all 18 within four seconds, and sound requests with them; a hundred ends until callers stopped sending the part.

Cause: nothing remembered what an engine was doing when it ended. The prompt's parts were not read, a failure was charged to the engine alone, and the next request with the same part, or the same one resumed, ended the next engine.

Change: instances record engine ends and progress by part of the prompt, tell each other with the gossip, and refuse requests with a convicted part before placement and right before each send. A broken answer counts only if the engine does not answer a request for its load report either. Progress anywhere takes a verdict back, otherwise trials at growing intervals.

Ruled out: charging the caller, the route or the first part, which sound requests share; a bound on cold engines, which was kept.

--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use chestnutstage_core::catalog::Repeat;
 use chestnutstage_core::ids::InstanceId;
 use chestnutstage_core::pool::{Key, Placement, Refusal};
+use chestnutstage_core::quarantine::Evidence;
 use derive_more::Display;
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -129,6 +130,7 @@
 
     /// Places the request and starts to send it. From here on it counts as possibly run, also if the attempt is dropped.
     async fn begin_send(&mut self) -> Result<PendingSend, Attempt> {
+        self.shared.check_parts(&self.id, &self.shared_parts).map_err(Attempt::Refused)?;
         let Placed { placement, grant, planner } = self.place().await.map_err(Attempt::Refused)?;
         self.log_placed(&placement, planner.as_ref());
         self.tried.push(placement.key);
@@ -145,6 +147,7 @@
         if let Some(rejected) = self.recheck(placement.key, planner.is_some()).await {
             return Err(rejected);
         }
+        self.shared.admit_parts(&self.id, &self.shared_parts).map_err(Attempt::Refused)?;
         let request = self.request(&placement, reservations.as_ref());
         let request = request.ok_or(Attempt::Rejected((Reason::Malformed, None)))?;
         self.sends += 1;
@@ -249,9 +252,16 @@
         }
         match (first, attempt) {
             (Some(sent), Attempt::Responded(other)) => {
-                if matches!(sent.1, Err(SendFailure::NotSent(_))) {
-                    self.sends -= 1;
-                    self.possible_runs -= 1;
+                match sent.1 {
+                    Err(SendFailure::NotSent(_)) => {
+                        self.sends -= 1;
+                        self.possible_runs -= 1;
+                    }
+                    Err(SendFailure::Unknown(_)) => {
+                        let Placement { key, listing, .. } = &pending.placement;
+                        self.record_broken(*key, listing.address, Evidence::Waiting);
+                    }
+                    Ok(_) => {}
                 }
                 Race::Other(Attempt::Responded(other))
             }
@@ -292,6 +302,7 @@
                 return Attempt::NotRun(format!("request not sent to {id}: {cause}"));
             }
             Err(SendFailure::Unknown(cause)) => {
+                self.record_broken(placement.key, placement.listing.address, Evidence::Waiting);
                 self.shared.report_failure(placement.key).await;
                 return Attempt::Unknown(format!("{id}: {cause}"));
             }
--- a/chestnutstage_gateway/src/checks.rs
+++ b/chestnutstage_gateway/src/checks.rs
@@ -51,5 +51,6 @@
     _ = writeln!(text, "watches_store = {}", shared.store_cache.watches_store());
     _ = writeln!(text, "planners = {:?}", shared.store_cache.planners());
     _ = writeln!(text, "asked_planners = {:?}", shared.planners_to_ask());
+    _ = write!(text, "quarantine:\n{}", shared.dump_quarantine());
     text + &shared.dispatcher.ask(Dump).await.unwrap_or_default()
 }
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 //! request is reported to the caller as not run only if that is certain. After an attempt with an unknown outcome it is
 //! sent again only if it may be repeated.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -11,7 +12,8 @@
 use bytes::{Bytes, BytesMut};
 use chestnutstage_core::catalog::{Repeat, Route};
 use chestnutstage_core::ids::{CustomerId, ModelId};
-use chestnutstage_core::pool::{Key, Refusal};
+use chestnutstage_core::pool::{Cause, Key, Refusal};
+use chestnutstage_core::quarantine::{Evidence, PromptPart};
 use chestnutstage_core::relay::Relay;
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT};
 use http::request::Parts;
@@ -26,6 +28,7 @@
 use crate::attempt::{Attempt, Upstream};
 use crate::external::Prompt;
 use crate::headers::{header_text, remove_hop_by_hop};
+use crate::quarantine::BrokenRequest;
 use crate::response::{BoxResponse, DEFAULT_RETRY_DELAY, Reason, error_response, full};
 use crate::shared::Shared;
 use crate::stream;
@@ -79,6 +82,8 @@
     pub(crate) key: Option<String>,
     pub(crate) customer: Option<CustomerId>,
     pub(crate) prompt: Prompt,
+    /// Parts of the prompt that other prompts may share.
+    pub(crate) shared_parts: Arc<[PromptPart]>,
     pub(crate) arrived: Instant,
     pub(crate) sends: u32,
     /// Error response of an endpoint, returned to the caller if no other endpoint does better.
@@ -147,6 +152,7 @@
         let deadline = arrived + remaining.min(route.timeout);
         let prompt = shared.adapters.header_format.prompt(&parts.headers);
         let prompt = prompt.unwrap_or(Prompt { tokens: 0, output: 0 });
+        let shared_parts = shared.shared_parts(&service, &parts.headers);
         remove_hop_by_hop(&mut parts.headers);
         for name in [&names.key, &names.customer, &names.expected, &names.helpers, &CONTENT_LENGTH, &EXPECT] {
             parts.headers.remove(name);
@@ -166,6 +172,7 @@
             key,
             customer,
             prompt,
+            shared_parts,
             arrived,
             sends: 0,
             fallback: None,
@@ -232,7 +239,9 @@
             retry:? = refusal.retry; "refused"
         );
         counter!("chestnutstage_refused_total", "reason" => refusal.cause.to_string()).increment(1);
-        error_response(Reason::Overloaded, Some(refusal.retry))
+        let quarantined = refusal.cause == Cause::Quarantined;
+        let reason = if quarantined { Reason::Quarantined } else { Reason::Overloaded };
+        error_response(reason, Some(refusal.retry))
     }
 
     fn after_not_run(&mut self) -> Option<BoxResponse> {
@@ -260,6 +269,12 @@
             && Instant::now() < self.deadline
     }
 
+    /// Records that the connection to an engine broke before the answer had progressed.
+    pub(crate) fn record_broken(&self, engine: Key, address: SocketAddr, evidence: Evidence) {
+        let (id, parts) = (self.id.clone(), self.shared_parts.clone());
+        self.shared.record_broken(BrokenRequest { id, parts, engine, address, evidence });
+    }
+
     fn log_failure(&self, reason: Reason) {
         let took = self.arrived.elapsed().as_millis() as u64;
         warn!(
@@ -305,6 +320,9 @@
             self.fallback = Some((head, bytes));
             return Forwarded::Repeat(Box::new(self));
         }
+        if head.status.is_success() {
+            self.shared.record_progress(&self.shared_parts);
+        }
         let took = self.arrived.elapsed();
         info!(request = self.id, status = head.status.as_u16(), ms = took.as_millis() as u64; "response complete");
         histogram!("chestnutstage_answer_seconds").record(took.as_secs_f64());
@@ -330,6 +348,7 @@
     /// Goes on after a response that can't be read.
     async fn repeat_or_fail(mut self, upstream: Box<Upstream>, cause: &str) -> Forwarded {
         warn!(request = self.id; "failed to read the response: {cause}");
+        self.record_broken(upstream.key, upstream.address, Evidence::Started);
         self.shared.report_failure(upstream.key).await;
         drop(upstream);
         if self.may_repeat() { Forwarded::Repeat(Box::new(self)) } else { Forwarded::Response(self.fail()) }
--- a/chestnutstage_gateway/src/external.rs
+++ b/chestnutstage_gateway/src/external.rs
@@ -213,6 +213,10 @@
     /// Size of the prompt, as the request's headers declare it.
     fn prompt(&self, headers: &HeaderMap) -> Option<Prompt>;
 
+    /// Ids of the parts of the prompt that other prompts may share, in their order. The last part of a prompt is its own and
+    /// is left out.
+    fn shared_parts(&self, headers: &HeaderMap) -> Vec<String>;
+
     /// Header value that lists helpers, each with the reservation that holds its part of the prompt.
     fn helpers(&self, helpers: &[(SocketAddr, Option<String>)]) -> Option<HeaderValue>;
 
--- a/chestnutstage_gateway/src/gateway.rs
+++ b/chestnutstage_gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use chestnutstage_core::budget::RetryBudget;
+use chestnutstage_core::quarantine::Quarantine;
 use kameo::actor::Spawn;
 use kameo::mailbox;
 use log::{info, warn};
@@ -37,7 +38,7 @@
 const DRAIN_DELAY: Duration = Duration::from_millis(2_600);
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
-/// Interval at which expired idle connections are closed.
+/// Interval at which expired idle connections are closed and expired records of crashes are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which a shutdown checks whether all requests have ended.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -130,11 +131,12 @@
             settings,
             clock,
             adapters,
-            store_cache: Arc::new(StoreCache::new(clock, dispatcher.clone(), name)),
+            store_cache: Arc::new(StoreCache::new(clock, dispatcher.clone(), name.clone())),
             dispatcher,
             channels: Channels::default(),
             peers: OnceLock::new(),
             budget: Mutex::new(budget),
+            quarantine: Mutex::new(Quarantine::new(name.clone())),
             draining: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
@@ -147,7 +149,7 @@
         for topic in Topic::ALL {
             tokio::spawn(store_watcher(&shared, topic).run());
         }
-        tokio::spawn(sweep_connections(shared.clone()));
+        tokio::spawn(sweep(shared.clone()));
         tokio::spawn(connect_peers(shared.clone(), granted, peers.clone()));
         Ok(Self { shared, closing, peers, addresses })
     }
@@ -210,11 +212,12 @@
     tokio::spawn(axum::serve(listener, router).into_future());
 }
 
-async fn sweep_connections(shared: Arc<Shared>) {
+async fn sweep(shared: Arc<Shared>) {
     let mut ticks = interval(SWEEP_INTERVAL);
     loop {
         ticks.tick().await;
         shared.channels.sweep();
+        shared.sweep_quarantine();
     }
 }
 
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod peer_message;
 mod peers;
 mod placer;
+mod quarantine;
 mod read_budget;
 mod reservations;
 mod response;
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -184,6 +184,7 @@
                 }
             }
             self.update_store_watch(&self.lock());
+            self.shared.update_quarantine_members();
             self.shared.store_cache.members_changed.notified().await;
         }
     }
@@ -306,6 +307,7 @@
             info!(peer:% = state.id; "link established");
             self.send_state(&state.id, connection).await;
         }
+        self.shared.apply_quarantine(&state.quarantine);
         // The peer wrote this state after it had received the message sent from here at `echo`, so its rules were current
         // at that time less their age, regardless of transit times and clock offsets.
         let rules_time = echo.map(|echo| echo - state.rules_age);
@@ -341,6 +343,7 @@
     /// Encodes the state with these grants and, if `marked`, with what is known of the store.
     async fn encode_state(&self, grants: GrantContent, marked: bool) -> Option<Bytes> {
         let complete = grants == GrantContent::All;
+        let all_reports = grants != GrantContent::Changes;
         let grants = match grants {
             GrantContent::None => None,
             _ => self.shared.dispatcher.ask(TakeUpdate { complete }).await.ok()?,
@@ -357,6 +360,7 @@
             marks: if marked { store_cache.digests() } else { Vec::new() },
             rules_age: store_cache.rules_age(),
             leaving: self.is_leaving().await,
+            quarantine: self.shared.quarantine_reports(all_reports),
         };
         match postcard::to_stdvec(&state) {
             Ok(bytes) => Some(Bytes::from(bytes)),
--- a/chestnutstage_gateway/src/response.rs
+++ b/chestnutstage_gateway/src/response.rs
@@ -39,6 +39,9 @@
     /// No endpoint can serve it in time; it did not run.
     #[display("overloaded")]
     Overloaded,
+    /// Its prompt contains a part that ends engines; it did not run.
+    #[display("prompt_quarantined")]
+    Quarantined,
     /// It was sent to an endpoint and may have run.
     #[display("outcome_unknown")]
     OutcomeUnknown,
@@ -50,7 +53,9 @@
 impl Reason {
     const fn status(self) -> StatusCode {
         match self {
-            Self::ConfigurationUnknown | Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+            Self::ConfigurationUnknown | Self::Overloaded | Self::Quarantined => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/chestnutstage_gateway/src/shared.rs
+++ b/chestnutstage_gateway/src/shared.rs
@@ -6,6 +6,7 @@
 
 use chestnutstage_core::budget::RetryBudget;
 use chestnutstage_core::pool::Listing;
+use chestnutstage_core::quarantine::Quarantine;
 use kameo::actor::ActorRef;
 
 use crate::channel::Channels;
@@ -41,6 +42,8 @@
     /// Links to the other instances, once they can be opened.
     pub(crate) peers: OnceLock<Weak<Peers>>,
     pub(crate) budget: Mutex<RetryBudget>,
+    /// Parts of prompts that end engines.
+    pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) draining: AtomicBool,
     pub(crate) running: AtomicUsize,
     /// Open connections of callers.
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -10,6 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use chestnutstage_core::catalog::Repeat;
+use chestnutstage_core::quarantine::Evidence;
 use chestnutstage_core::relay::Relay;
 use futures::stream::unfold;
 use http::Response;
@@ -26,6 +27,8 @@
 use crate::liveness::Reachability;
 use crate::response::BoxResponse;
 
+/// Events after which an answer counts as progressed beyond its beginning.
+const PROGRESS_EVENTS: u64 = 3;
 /// Time without data after which a stream is resumed at another endpoint, as a multiple of the target token gap.
 const STALL_GAPS: u32 = 3;
 /// Time without a first event after which another endpoint is tried, as a multiple of the target or of the expected
@@ -48,6 +51,8 @@
     prefix: Bytes,
     last_progress: Instant,
     started: bool,
+    /// Events of the current upstream.
+    upstream_events: u64,
     /// Longest time between two events.
     longest_gap: Duration,
     /// Failover attempts since the last event because of stalls.
@@ -85,6 +90,7 @@
         prefix,
         last_progress: Instant::now(),
         started: false,
+        upstream_events: 0,
         longest_gap: Duration::ZERO,
         stall_failovers: 0,
         reported: false,
@@ -209,6 +215,7 @@
             let cause = format!("the response is larger than {UNDECLARED_BYTES_MAX} bytes");
             return Some(ReadOutcome::Broken(cause));
         }
+        let forwarded_before = self.exchange.relay.event_count();
         let events = if has_events { self.exchange.relay.push(&data) } else { data };
         if self.exchange.relay.partial_len() > EVENT_BYTES_MAX {
             return Some(ReadOutcome::Broken(format!("an event is larger than {EVENT_BYTES_MAX} bytes")));
@@ -216,11 +223,16 @@
         if events.is_empty() {
             return None;
         }
-        self.record_events();
+        self.record_events(forwarded_before);
         Some(ReadOutcome::Bytes(events))
     }
 
-    fn record_events(&mut self) {
+    fn record_events(&mut self, forwarded_before: u64) {
+        let before = self.upstream_events;
+        self.upstream_events += self.exchange.relay.event_count() - forwarded_before;
+        if before < PROGRESS_EVENTS && self.upstream_events >= PROGRESS_EVENTS {
+            self.exchange.shared.record_progress(&self.exchange.shared_parts);
+        }
         let now = Instant::now();
         if self.started {
             self.longest_gap = self.longest_gap.max(now.duration_since(self.last_progress));
@@ -302,6 +314,9 @@
         }
         match takeover {
             Ok((other, start)) => {
+                if first.is_some() {
+                    self.record_broken();
+                }
                 self.switch_upstream(other, cause);
                 Some(Some(Ok(start)))
             }
@@ -322,11 +337,22 @@
         self.last_progress = Instant::now();
         self.stall_failovers = 0;
         self.started = false;
+        self.upstream_events = 0;
         self.reported = false;
     }
 
+    /// Records that the current upstream broke, if it had not progressed beyond its beginning.
+    fn record_broken(&self) {
+        if let Some(broken) = &self.upstream
+            && self.upstream_events <= 1
+        {
+            self.exchange.record_broken(broken.key, broken.address, Evidence::Started);
+        }
+    }
+
     /// Resumes a broken stream at another endpoint; returns whether that was possible.
     async fn resume(&mut self, cause: &str) -> bool {
+        self.record_broken();
         let Some(broken) = self.upstream.take() else { return false };
         self.exchange.shared.report_failure(broken.key).await;
         drop(broken);
@@ -349,6 +375,7 @@
         let events = self.exchange.relay.event_count();
         let pause_ms = self.longest_gap.as_millis() as u64;
         info!(request = self.exchange.id, events, pause_ms; "stream complete");
+        self.exchange.shared.record_progress(&self.exchange.shared_parts);
         let closes = upstream.closes();
         let Upstream { channel, key, idle_share, .. } = *upstream;
         if !closes {
@@ -365,7 +392,11 @@
     };
     let mut start = BytesMut::new();
     while !Relay::has_event(&start) {
-        match timeout_at(exchange.deadline, upstream.next_data()).await {
+        let data = timeout_at(exchange.deadline, upstream.next_data()).await;
+        if matches!(data, Ok(None | Some(Err(_)))) {
+            exchange.record_broken(upstream.key, upstream.address, Evidence::Started);
+        }
+        match data {
             Ok(Some(Ok(data))) if start.len() + data.len() <= EVENT_BYTES_MAX => {
                 start.extend_from_slice(&data);
             }
--- a/chestnutstage_gateway/tests/common/backend.rs
+++ b/chestnutstage_gateway/tests/common/backend.rs
@@ -32,6 +32,8 @@
     Endless(String, String),
     /// Sends the first part, then the second part after a time without data.
     Pause(Duration, String, String),
+    /// Sends the third part and closes the connection if the request contains the first; otherwise sends the second.
+    CrashOn(&'static str, String, String),
     /// Sends the first part and closes the connection; sends the second part to a request with `last-event-id`.
     Resume(String, String),
 }
@@ -112,8 +114,14 @@
     async fn serve(self: Arc<Self>, mut stream: TcpStream) {
         while let Some(request) = read_request(&mut stream).await {
             let resumes = request.contains("last-event-id: ");
+            let reply = match self.next() {
+                Reply::CrashOn(text, _, head) if request.contains(text) => Reply::Truncate(head),
+                Reply::CrashOn(_, bytes, _) => Reply::Bytes(bytes),
+                reply => reply,
+            };
             self.requests.lock().unwrap().push(request);
-            match self.next() {
+            match reply {
+                Reply::CrashOn(..) => unreachable!("resolved above"),
                 Reply::Pause(time, bytes, rest) => {
                     stream.write_all(bytes.as_bytes()).await.unwrap();
                     tokio::time::sleep(time).await;
--- a/chestnutstage_gateway/tests/common/external.rs
+++ b/chestnutstage_gateway/tests/common/external.rs
@@ -219,6 +219,13 @@
         Some(Prompt { tokens, output: 100 })
     }
 
+    fn shared_parts(&self, headers: &HeaderMap) -> Vec<String> {
+        let text = headers.get("x-parts").map_or("", |v| v.to_str().unwrap());
+        let mut ids: Vec<_> = text.split(',').map(str::to_owned).collect();
+        ids.pop();
+        ids
+    }
+
     fn helpers(&self, helpers: &[(SocketAddr, Option<String>)]) -> Option<HeaderValue> {
         if helpers.is_empty() {
             return None;
