--- a/chestnutstage_core/tests/quarantine_replay.rs
+++ b/chestnutstage_core/tests/quarantine_replay.rs
@@ -12,7 +12,7 @@
 
 /// Step of the simulation, in milliseconds.
 const STEP: u64 = 10;
-/// Time from a send to the head, from there to the end of an engine, and to progress, in milliseconds.
+/// Times from a send to the head, to the end of the engine, and to progress, in milliseconds.
 const HEAD: u64 = 100;
 const END: u64 = 160;
 const PROGRESS: u64 = 400;
@@ -86,7 +86,9 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let ids: Vec<_> = (0..instances).map(|i| format!("i{i}").as_str().into()).collect();
     let mut fleet: Vec<_> = ids.iter().cloned().map(Quarantine::new).collect();
-    fleet.iter_mut().for_each(|q| q.set_members(ids.clone()));
+    for quarantine in &mut fleet {
+        quarantine.set_members(ids.clone());
+    }
     let mut back = vec![0_u64; engines];
     let mut running: Vec<Running> = Vec::new();
     let mut outcome = Outcome::default();
@@ -158,7 +160,9 @@
             exchange(&mut fleet, now, pairs, true);
         }
         if now % 1_000 == 0 {
-            fleet.iter_mut().for_each(|q| q.remove_expired(at(now)));
+            for quarantine in &mut fleet {
+                quarantine.remove_expired(at(now));
+            }
         }
     }
     outcome
