Memory reserved for an engine that is lost is released in time, also while another engine is tried

Cause: since silence is no longer taken for death, a silent engine counted as lost after up to 4.3 s, and its request kept its reservations until then; while another engine was tried, it was not probed at all.

`unreachable_engine` now also bounds the time, by the users' 4 s.

Change: an engine counts as lost after four failed probes in a row, 3 s after its last data, and is probed during a race; its connection is closed and its reservations are released then, whatever the other engine does.

--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use chestnutstage_core::quarantine::Evidence;
 use derive_more::Display;
 use futures::FutureExt;
-use futures::future::BoxFuture;
+use futures::future::{BoxFuture, pending};
 use http::header::CONNECTION;
 use http::response;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -59,7 +59,7 @@
     /// Number of idle connections that may be kept to the endpoint.
     pub(crate) idle_share: usize,
     pub(crate) grant: GrantGuard,
-    pub(crate) _reservations: Option<Reservations>,
+    pub(crate) reservations: Option<Reservations>,
     pub(crate) sent: Instant,
     pub(crate) expected: Duration,
 }
@@ -115,10 +115,28 @@
     First(Sent),
     /// The other endpoint responded first.
     Other(Attempt),
+    /// The silent endpoint is lost, and the other one did not take over.
+    Lost,
     /// The other endpoint did not take over.
     None,
 }
 
+/// How the wait for a silent endpoint ended during a race.
+enum FirstEnd {
+    /// It sent a response that is no success, or the connection failed.
+    Sent(Sent),
+    /// It has not been reachable for long.
+    Lost,
+}
+
+impl PendingSend {
+    /// Closes the connection and releases the reserved memory.
+    fn abandon(&mut self) {
+        self.sending = pending().boxed();
+        self.reservations = None;
+    }
+}
+
 impl Exchange {
     /// Places the request, sends it to the endpoint and waits for the head of the response.
     pub(crate) async fn attempt(&mut self) -> Attempt {
@@ -209,6 +227,7 @@
                         match self.race_another(&mut pending).await {
                             Race::First(sent) => return self.accept_head(pending, sent).await,
                             Race::Other(attempt) => return attempt,
+                            Race::Lost => return self.give_up(pending, "does not answer load probes").await,
                             Race::None => {}
                         }
                     }
@@ -231,6 +250,7 @@
             "endpoint is silent; trying another one beside it"
         );
         let sends = self.sends;
+        let probed = self.probes_engine();
         let (first, attempt) = {
             let mut first = None;
             let mut attempt = Box::pin(self.attempt());
@@ -241,7 +261,13 @@
                         if is_success(&sent) {
                             return Race::First(sent);
                         }
-                        first = Some(sent);
+                        first = Some(FirstEnd::Sent(sent));
+                    }
+                    reachability = pending.probe.watch(), if probed && first.is_none() => {
+                        if reachability == Reachability::Lost {
+                            pending.abandon();
+                            first = Some(FirstEnd::Lost);
+                        }
                     }
                     attempt = &mut attempt => break (first, attempt),
                 }
@@ -251,21 +277,22 @@
             self.shared.return_retry();
         }
         match (first, attempt) {
-            (Some(sent), Attempt::Responded(other)) => {
-                match sent.1 {
-                    Err(SendFailure::NotSent(_)) => {
+            (Some(end), Attempt::Responded(other)) => {
+                match end {
+                    FirstEnd::Sent((_, Err(SendFailure::NotSent(_)))) => {
                         self.sends -= 1;
                         self.possible_runs -= 1;
                     }
-                    Err(SendFailure::Unknown(_)) => {
+                    FirstEnd::Sent((_, Err(SendFailure::Unknown(_)))) => {
                         let Placement { key, listing, .. } = &pending.placement;
                         self.record_broken(*key, listing.address, Evidence::Waiting);
                     }
-                    Ok(_) => {}
+                    FirstEnd::Sent((_, Ok(_))) | FirstEnd::Lost => {}
                 }
                 Race::Other(Attempt::Responded(other))
             }
-            (Some(sent), _) => Race::First(sent),
+            (Some(FirstEnd::Sent(sent)), _) => Race::First(sent),
+            (Some(FirstEnd::Lost), _) => Race::Lost,
             (None, Attempt::Responded(other)) if !other.head.status.is_server_error() => {
                 Race::Other(Attempt::Responded(other))
             }
@@ -316,7 +343,7 @@
             address: placement.listing.address,
             idle_share,
             grant,
-            _reservations: reservations,
+            reservations,
             probe: LivenessProbe::new(&self.shared.adapters.engines, placement.listing.address),
             sent,
             expected: placement.expected,
--- a/chestnutstage_gateway/src/liveness.rs
+++ b/chestnutstage_gateway/src/liveness.rs
@@ -23,7 +23,7 @@
 /// Consecutive failed probes after which an engine is suspect; one report may be lost in transit.
 const SUSPECT_FAILURES: u32 = 2;
 /// Consecutive failed probes after which an engine counts as lost.
-const LOST_FAILURES: u32 = 6;
+const LOST_FAILURES: u32 = 4;
 
 /// What the probes of an engine say.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -67,12 +67,21 @@
     End,
     Stalled(&'static str),
     Broken(String),
+    /// The engine has not answered load probes for long.
+    Lost,
     TimedOut,
 }
 
 /// Data of the endpoint's stream, or `None` at its end.
 type Data = Option<hyper::Result<Bytes>>;
 
+/// How the wait for a silent endpoint ended while another one was tried.
+enum FirstEnd {
+    Data(Data),
+    /// It has not been reachable for long.
+    Lost,
+}
+
 /// Builds the response whose body forwards the stream, after the `prefix` that was already read from it. The head waits for
 /// the first events, so that a stream that breaks before them still gets an error response.
 pub(crate) async fn response(exchange: Exchange, upstream: Box<Upstream>, prefix: Bytes) -> BoxResponse {
@@ -131,10 +140,8 @@
                 }
                 ReadOutcome::TimedOut => return Some(Err("the deadline passed".into())),
                 ReadOutcome::Stalled(cause) => {
-                    if let Some(data) = self.fail_over(cause).await
-                        && let Some(resumed) = self.accept(data)
-                    {
-                        outcome = resumed;
+                    if let Some(next) = self.fail_over(cause).await {
+                        outcome = next;
                         continue;
                     }
                 }
@@ -143,6 +150,12 @@
                         return Some(Err(cause));
                     }
                 }
+                ReadOutcome::Lost => {
+                    let cause = "the engine does not answer load probes";
+                    if !self.resume(cause).await {
+                        return Some(Err(cause.into()));
+                    }
+                }
             }
             outcome = self.read().await;
         }
@@ -175,9 +188,7 @@
                 },
                 reachability = probe.watch(), if probed => match reachability {
                     Reachability::Suspect => return ReadOutcome::Stalled("the engine does not answer load probes"),
-                    Reachability::Lost => {
-                        return ReadOutcome::Broken("the engine does not answer load probes".into());
-                    }
+                    Reachability::Lost => return ReadOutcome::Lost,
                 },
             };
             if let Some(outcome) = self.accept(data) {
@@ -279,9 +290,9 @@
     }
 
     /// Tries another endpoint beside one that sends nothing: it may be in a long prefill, or go on after a while. The first
-    /// one is left once the other has sent a whole event; a failure of one of the two does not end the other. Returns the next
-    /// data of the stream, if any.
-    async fn fail_over(&mut self, cause: &'static str) -> Option<Data> {
+    /// one is left once the other has sent a whole event; a failure of one of the two does not end the other. Returns what was
+    /// read of the stream, if anything.
+    async fn fail_over(&mut self, cause: &'static str) -> Option<ReadOutcome> {
         self.stall_failovers += 1;
         self.last_progress = Instant::now();
         let suspect = self.upstream.as_ref().is_some_and(|upstream| upstream.probe.is_suspect());
@@ -296,16 +307,26 @@
         let sends = self.exchange.sends;
         let (first, takeover) = {
             let mut first = None;
+            let probed = self.exchange.probes_engine();
+            let Upstream { probe, body, channel, reservations, .. } = &mut **upstream;
             let mut takeover = Box::pin(take_over(&mut self.exchange));
             loop {
                 tokio::select! {
                     biased;
-                    data = upstream.next_data(), if first.is_none() => match data {
-                        Some(Ok(_)) => return Some(data),
-                        None if !inside_event => return Some(data),
-                        _ => first = Some(data),
-                    },
-                    takeover = &mut takeover => break (first, takeover),
+                    data = next_data(body, channel), if first.is_none() => {
+                        let goes_on = matches!(data, Some(Ok(_))) || (data.is_none() && !inside_event);
+                        first = Some(FirstEnd::Data(data));
+                        if goes_on {
+                            break (first, None);
+                        }
+                    }
+                    reachability = probe.watch(), if probed && first.is_none() => {
+                        if reachability == Reachability::Lost {
+                            *reservations = None;
+                            first = Some(FirstEnd::Lost);
+                        }
+                    }
+                    takeover = &mut takeover => break (first, Some(takeover)),
                 }
             }
         };
@@ -313,17 +334,21 @@
             self.exchange.shared.return_retry();
         }
         match takeover {
-            Ok((other, start)) => {
-                if first.is_some() {
+            Some(Ok((other, start))) => {
+                if matches!(first, Some(FirstEnd::Data(_))) {
                     self.record_broken();
                 }
                 self.switch_upstream(other, cause);
-                Some(Some(Ok(start)))
+                return self.accept(Some(Ok(start)));
             }
-            Err(cause) => {
+            Some(Err(cause)) => {
                 info!(request = self.exchange.id, cause; "no other endpoint took over; waiting on");
-                first
             }
+            None => {}
+        }
+        match first? {
+            FirstEnd::Data(data) => self.accept(data),
+            FirstEnd::Lost => Some(ReadOutcome::Lost),
         }
     }
 
--- a/chestnutstage_gateway/tests/event_streams.rs
+++ b/chestnutstage_gateway/tests/event_streams.rs
@@ -11,6 +11,10 @@
 use common::external::FakeStore;
 use common::{Harness, catalog, listing, settings};
 use reqwest::{Method, Response, StatusCode};
+use tokio::time::Instant;
+
+/// Time within which memory is released whose request has ended: the users' bound.
+const RELEASE_TIME_MAX: Duration = Duration::from_secs(4);
 
 async fn post(harness: &Harness, path: &str, tokens: &str) -> Response {
     harness.request(Method::POST, path).header("x-tokens", tokens).body("prompt").send().await.unwrap()
@@ -130,6 +134,7 @@
     assert!(!harness.engines.reserved.lock().unwrap().is_empty());
     harness.engines.unresponsive.lock().unwrap().push(backend.address);
     harness.engines.full.store(true, Ordering::SeqCst);
+    let silent = Instant::now();
     let response = sending.await.unwrap().unwrap();
     assert_eq!(
         response.status(),
@@ -139,6 +144,31 @@
     while !harness.engines.reserved.lock().unwrap().is_empty() {
         harness.engines.released.notified().await;
     }
+    assert!(silent.elapsed() < RELEASE_TIME_MAX, "{:?}", silent.elapsed());
+}
+
+/// The same while another engine works on the request: the memory reserved for the unreachable one is released all the same.
+#[tokio::test]
+async fn unreachable_during_failover() {
+    for started in [String::new(), stream(1..=1)] {
+        let backend = Backend::start(vec![Reply::Hang(started), Reply::Hang(String::new())]).await;
+        let listings = (1..=8).map(|n| listing(&format!("e{n}"), "llm", backend.address)).collect();
+        let harness = Harness::start(listings).await;
+        let request = harness.request(Method::POST, "/archive/x").header("x-tokens", "400000");
+        let sending = tokio::spawn(request.header("x-remaining", "60000").send());
+        while backend.requests().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let first: Vec<_> = harness.engines.reserved.lock().unwrap().keys().cloned().collect();
+        harness.engines.unresponsive.lock().unwrap().push(backend.address);
+        let silent = Instant::now();
+        while first.iter().any(|name| harness.engines.reserved.lock().unwrap().contains_key(name)) {
+            assert!(silent.elapsed() < RELEASE_TIME_MAX, "memory of the unreachable engine is kept");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(backend.requests().len(), 2, "another engine was tried");
+        sending.abort();
+    }
 }
 
 #[tokio::test]
