Verdicts on prompt parts are derived anew from each engine end, and only engines that can't be reached count as ended

Found by a review of the quarantine, by trials:

- a part that was answered within the last minute and then ended 6.7 engines a second was not refused in 11 s: its record held the latest 16 ends, which never spanned the 5 s demanded (`turned_bad`);
- a bystander that one instance had convicted stayed convicted everywhere after the culprit was known (`bystander_released`);
- a loss of power and one end five seconds later kept a shared part out (`late_end_after_outage`);
- an instance that knew no members sent trials of its own (`no_members`);
- engines that were silent, or whose load report was refused, counted as ended (`silent_engines`);
- an end after the first event of a stream without length counted as progress (`ends_without_length`).

The first four tests and `ends_without_length` failed on the former code; `silent_engines` and `delayed_report` passed there too, as written, and stay as guards.

Change: verdicts are computed anew, greedily, whenever something is learned, so that explained ends no longer hold a bystander; ends must fall into three bursts instead of spanning five seconds; the record drops ends where they are densest; progress told by peers moves with the ends that it was told with. Reports go with the regular messages only, not with each grant.

`three_crashes` demanded that requests pass during the objection time; it now demands that they are refused without a verdict.

--- a/chestnutstage_core/src/quarantine/mod.rs
+++ b/chestnutstage_core/src/quarantine/mod.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use self::suspect::{CRASH_SPAN_MIN, Suspect};
+use self::suspect::Suspect;
 use crate::ids::{InstanceId, ModelId};
 use crate::pool::Key;
 use crate::rendezvous;
@@ -28,7 +28,8 @@
 
 /// Time for which progress under a part speaks against its conviction.
 pub const ANSWERED_MEMORY: Duration = Duration::from_mins(1);
-/// Age of the decisive crash at a conviction; peers that have seen progress tell in that time.
+/// Age of the decisive crash at a conviction; peers that have seen progress tell in that time. Meanwhile requests with the part
+/// are refused.
 pub const OBJECTION_TIME: Duration = Duration::from_millis(500);
 /// Time after which a crash under a part that is not convicted is forgotten.
 pub const SUSPECT_TTL: Duration = Duration::from_mins(1);
@@ -43,14 +44,14 @@
 /// Time after which twice as many members may admit a trial that is due.
 const TRIAL_SLOT: Duration = Duration::from_secs(2);
 /// Largest number of such doublings.
-const TURN_DOUBLINGS_MAX: u128 = 10;
+const TURN_DOUBLINGS_MAX: u128 = 3;
 /// Shortest time that a refused request is asked to wait.
 const RETRY_MIN: Duration = Duration::from_secs(1);
 /// Maximum number of parts recorded with crashes.
 pub const SUSPECTS_MAX: usize = 256;
 /// Maximum number of parts remembered as answered; the older half is evicted first.
 pub const ANSWERED_MAX: usize = 4_096;
-/// Maximum number of parts recorded of one request: the last ones, since earlier ones were mostly answered before.
+/// Maximum number of parts recorded of one request, from its start and from its end.
 pub const REQUEST_PARTS_MAX: usize = 32;
 /// Shift of all times, so that those before the process's epoch keep their order.
 const EPOCH_SHIFT: Duration = Duration::from_hours(24);
@@ -174,7 +175,7 @@
             }
             self.answered.insert(*part, now);
             if let Some(suspect) = self.suspects.get_mut(part) {
-                if suspect.last_crash() > suspect.answered {
+                if suspect.last_crash() > suspect.progress() {
                     self.judge_at = Time::ZERO;
                     suspect.changed = now;
                 }
@@ -212,6 +213,13 @@
     /// Convicted parts among these, if all of them may have a trial.
     fn check_convicted(&mut self, now: Time, parts: &[PromptPart]) -> Result<BTreeSet<PromptPart>, Verdict> {
         self.judge(now);
+        if let Some(part) = parts.iter().find(|part| self.suspects.get(part).is_some_and(|s| s.held)) {
+            return Err(Verdict {
+                part: *part,
+                retry: RETRY_MIN,
+                crashes: self.suspects[part].crashes.len(),
+            });
+        }
         let is_convicted = |p: &PromptPart| self.suspects.get(p).is_some_and(|s| s.convicted.is_some());
         let convicted: BTreeSet<_> = parts.iter().copied().filter(is_convicted).collect();
         if convicted.iter().all(|part| self.is_turn(now, *part)) {
@@ -264,30 +272,36 @@
         self.suspects.entry(part).or_insert_with(|| Suspect { answered, ..Suspect::default() })
     }
 
-    /// Judges all parts, unless nothing has changed since the last time.
+    /// Judges all parts anew, unless nothing has changed since the last time. Each conviction explains crashes, which then no
+    /// longer count against other parts, also against those that were convicted before.
     fn judge(&mut self, now: Time) {
         if now < self.judge_at {
             return;
         }
-        self.suspects.values_mut().for_each(Suspect::review);
+        self.judge_at = Time::NEVER;
+        self.suspects.values_mut().for_each(|s| s.held = false);
+        let mut explained: BTreeSet<Key> = BTreeSet::new();
+        let mut convicted: BTreeSet<PromptPart> = BTreeSet::new();
         loop {
-            let convicted = self.suspects.values().filter(|s| s.convicted.is_some());
-            let explained: BTreeSet<Key> = convicted.flat_map(|s| s.crashes.keys().copied()).collect();
-            self.judge_at = Time::NEVER;
             let mut worst = None;
-            for (part, suspect) in self.suspects.iter().filter(|(_, s)| s.convicted.is_none()) {
+            for (part, suspect) in self.suspects.iter_mut().filter(|(part, _)| !convicted.contains(part)) {
                 let crashes = suspect.effective(&explained);
-                let Some(decisive) = suspect.decisive(&crashes, CRASH_SPAN_MIN) else { continue };
-                if now < decisive + OBJECTION_TIME {
+                let Some(decisive) = suspect.decisive(&crashes) else { continue };
+                // A part that all requests share has the crashes of several culprits.
+                let unanswered = !suspect.was_answered(decisive);
+                if suspect.convicted.is_none() && now < decisive + OBJECTION_TIME {
                     self.judge_at = self.judge_at.min(decisive + OBJECTION_TIME);
+                    suspect.held = unanswered;
                     continue;
                 }
-                // A part that all requests share has the crashes of several culprits.
-                let unanswered = !suspect.was_answered(decisive);
                 worst = worst.max(Some((unanswered, suspect::points(&crashes), suspect.position, *part)));
             }
             let Some((.., part)) = worst else { break };
-            self.suspect(part).convicted = Some(now);
+            convicted.insert(part);
+            explained.extend(self.suspects[&part].crashes.keys());
+        }
+        for (part, suspect) in &mut self.suspects {
+            suspect.set_convicted(now, convicted.contains(part));
         }
         self.announce(now);
     }
@@ -299,7 +313,7 @@
                 (false, true) => {
                     suspect.changed = now;
                     let crashes = suspect.crashes.keys().copied().collect();
-                    let answered = suspect.answered.map(|time| now.since(time));
+                    let answered = suspect.progress().map(|time| now.since(time));
                     self.changes.push(Change::Convicted { part, crashes, answered });
                 }
                 (true, false) => {
@@ -321,7 +335,9 @@
         let key = format!("{part}/{}", suspect.trials());
         // A part that is rarely requested may not come by the member whose turn it is.
         let turns = 1_usize << slot.min(TURN_DOUBLINGS_MAX);
-        now >= due && rendezvous::is_among_top(turns, &key, &self.own, &self.members)
+        now >= due
+            && !self.members.is_empty()
+            && rendezvous::is_among_top(turns, &key, &self.own, &self.members)
     }
 
     /// Drops the parts whose last crash is the oldest, convicted ones last.
@@ -357,7 +373,8 @@
 /// Parts of a request that are recorded, with their positions.
 fn recorded(parts: &[PromptPart]) -> impl Iterator<Item = (u8, &PromptPart)> {
     let positions = (0..u8::MAX).chain(std::iter::repeat(u8::MAX));
-    positions.zip(parts).skip(parts.len().saturating_sub(REQUEST_PARTS_MAX))
+    let (first, last) = (REQUEST_PARTS_MAX / 2, parts.len().saturating_sub(REQUEST_PARTS_MAX / 2));
+    positions.zip(parts).enumerate().filter(move |(i, _)| *i < first || *i >= last).map(|(_, part)| part)
 }
 
 /// Time as it is kept here: shifted, and in whole milliseconds as in reports.
--- a/chestnutstage_core/src/quarantine/report.rs
+++ b/chestnutstage_core/src/quarantine/report.rs
@@ -15,7 +15,7 @@
 use crate::time::Time;
 
 /// Maximum number of parts reported at once.
-pub const REPORTS_MAX: usize = 32;
+pub const REPORTS_MAX: usize = 64;
 
 /// What an instance knows of a part; ages are in milliseconds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -43,7 +43,7 @@
             part,
             position: suspect.position,
             crashes: suspect.crashes.iter().map(|(key, c)| (*key, age(c.time), c.evidence)).collect(),
-            answered: suspect.answered.map(age),
+            answered: suspect.progress().map(age),
             convicted: suspect.convicted.map(age),
             trial: suspect.trial.map(|(time, number)| (age(time), number)),
             refused: suspect.refused.map(age),
@@ -89,14 +89,18 @@
     fn merge(&mut self, now: Time, report: &PartReport) {
         let before = self.knowledge();
         let received = |age: u32| now - Duration::from_millis(age.into());
-        let mut delay = Duration::ZERO;
+        let (mut delay, mut earlier) = (Duration::ZERO, Duration::ZERO);
         for (engine, age, evidence) in report.crashes.iter().take(CRASHES_MAX) {
+            let former = self.crashes.get(engine).map(|crash| crash.time);
             let known = self.add_crash(*engine, received(*age), *evidence);
             delay = delay.max(received(*age).since(known));
+            earlier = earlier.max(former.map_or(Duration::ZERO, |former| former.since(known)));
         }
+        // What was told with a crash was as late as the crash.
+        self.told = self.told.map(|time| time - earlier);
         let at = |age: u32| received(age) - delay;
         self.position = self.position.max(report.position);
-        self.answered = self.answered.max(report.answered.map(at));
+        self.told = self.told.max(report.answered.map(at));
         self.refused = self.refused.max(report.refused.map(at));
         self.convicted = self.convicted.into_iter().chain(report.convicted.map(at)).min();
         if let Some((age, number)) = report.trial {
--- a/chestnutstage_core/src/quarantine/suspect.rs
+++ b/chestnutstage_core/src/quarantine/suspect.rs
@@ -12,10 +12,12 @@
 const POINTS_MIN: u32 = 6;
 /// Points at which a part with recent progress is convicted.
 const ANSWERED_POINTS_MIN: u32 = 16;
-/// Time that the crashes under a part with recent progress must span.
-pub(super) const CRASH_SPAN_MIN: Duration = Duration::from_secs(5);
-/// Maximum number of crashes recorded under one part; the oldest are dropped.
-pub const CRASHES_MAX: usize = 16;
+/// Number of bursts into which the crashes under a part with recent progress must fall: engines that lose power at once are one.
+const BURSTS_MIN: usize = 3;
+/// Time from the start of a burst to the start of the next one.
+const BURST_TIME: Duration = Duration::from_secs(1);
+/// Maximum number of crashes recorded under one part.
+pub const CRASHES_MAX: usize = 32;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Crash {
@@ -29,13 +31,18 @@
     /// Largest position in a prompt.
     pub position: u8,
     pub crashes: BTreeMap<Key, Crash>,
+    /// Latest progress seen by this instance.
     pub answered: Option<Time>,
+    /// Latest progress seen by others.
+    pub told: Option<Time>,
     pub convicted: Option<Time>,
     /// Latest trial, and the number of trials so far.
     pub trial: Option<(Time, u32)>,
     pub refused: Option<Time>,
     /// Latest change that the peers have to learn.
     pub changed: Time,
+    /// Whether requests are refused while peers may object to a conviction.
+    pub held: bool,
     /// Whether the conviction was returned as a change.
     pub announced: bool,
 }
@@ -47,15 +54,30 @@
         *crash = Crash { time: crash.time.min(time), evidence: crash.evidence.max(evidence) };
         let time = crash.time;
         if self.crashes.len() > CRASHES_MAX {
-            let oldest = self.crashes.iter().map(|(key, crash)| (crash.time, *key)).min();
-            self.crashes.retain(|key, _| Some(*key) != oldest.map(|(_, key)| key));
+            self.drop_crash();
         }
         time
     }
 
+    /// Drops a crash of the largest burst, so that the record spans as long a time as possible.
+    fn drop_crash(&mut self) {
+        let mut times: Vec<_> = self.crashes.iter().map(|(key, crash)| (crash.time, *key)).collect();
+        times.sort_unstable();
+        let gaps = times.windows(2).map(|pair| (pair[1].0.since(pair[0].0), pair[0].1));
+        if let Some((_, dropped)) = gaps.min() {
+            self.crashes.remove(&dropped);
+        }
+    }
+
+    /// Latest known progress.
+    pub fn progress(&self) -> Option<Time> {
+        self.answered.max(self.told)
+    }
+
     /// Crashes later than the latest progress that are not `explained` by another part, oldest first.
     pub fn effective(&self, explained: &BTreeSet<Key>) -> Vec<Crash> {
-        let later = self.crashes.iter().filter(|(_, crash)| Some(crash.time) > self.answered);
+        let progress = self.progress();
+        let later = self.crashes.iter().filter(|(_, crash)| Some(crash.time) > progress);
         let mut crashes: Vec<_> =
             later.filter(|(key, _)| !explained.contains(key)).map(|(_, c)| *c).collect();
         crashes.sort_unstable();
@@ -64,35 +86,35 @@
 
     /// Time of the crash with which `crashes` suffice for a conviction. Progress counts as recent by the time of the
     /// crash: after an outage there is none for long.
-    pub fn decisive(&self, crashes: &[Crash], span: Duration) -> Option<Time> {
-        let first = crashes.first()?.time;
+    pub fn decisive(&self, crashes: &[Crash]) -> Option<Time> {
+        let bursts_min = if self.convicted.is_some() { 1 } else { BURSTS_MIN };
         let is_decisive = |(i, crash): &(usize, &Crash)| {
             let points = points(&crashes[..=*i]);
             (points >= POINTS_MIN && !self.was_answered(crash.time))
-                || (points >= ANSWERED_POINTS_MIN && crash.time.since(first) >= span)
+                || (points >= ANSWERED_POINTS_MIN && bursts(&crashes[..=*i]) >= bursts_min)
         };
         crashes.iter().enumerate().find(is_decisive).map(|(_, crash)| crash.time)
     }
 
     /// Whether progress was recent at the time of a crash.
     pub fn was_answered(&self, crash: Time) -> bool {
-        self.answered.is_some_and(|time| crash.since(time) <= ANSWERED_MEMORY)
+        self.progress().is_some_and(|time| crash.since(time) <= ANSWERED_MEMORY)
     }
 
-    /// Lifts the conviction if it does not stand up to the latest progress, and forgets trials before that.
-    pub fn review(&mut self) {
-        // Crashes that proved the span may have been dropped since.
-        if self.decisive(&self.effective(&BTreeSet::new()), Duration::ZERO).is_none() {
-            self.convicted = None;
+    /// Sets whether the part is convicted, and forgets trials before the latest progress.
+    pub fn set_convicted(&mut self, now: Time, convicted: bool) {
+        self.convicted = convicted.then(|| self.convicted.unwrap_or(now));
+        if !convicted {
             self.refused = None;
         }
-        self.trial = self.trial.filter(|(time, _)| self.convicted.is_some() && Some(*time) > self.answered);
+        let progress = self.progress();
+        self.trial = self.trial.filter(|(time, _)| convicted && Some(*time) > progress);
     }
 
     /// What peers have to learn when it changes.
     pub fn knowledge(&self) -> impl PartialEq + use<> {
         let crashes: Vec<_> = self.crashes.iter().map(|(key, crash)| (*key, crash.evidence)).collect();
-        let answered = (self.answered.is_some(), self.answered >= self.last_crash());
+        let answered = (self.progress().is_some(), self.progress() >= self.last_crash());
         (crashes, answered, self.convicted.is_some(), self.trials())
     }
 
@@ -141,3 +163,16 @@
 pub(super) fn points(crashes: &[Crash]) -> u32 {
     crashes.iter().map(|crash| crash.evidence.points()).sum()
 }
+
+/// Number of bursts into which crashes fall, oldest first.
+fn bursts(crashes: &[Crash]) -> usize {
+    let mut start = None;
+    let begins = |crash: &&Crash| {
+        let begins = start.is_none_or(|start| crash.time.since(start) >= BURST_TIME);
+        if begins {
+            start = Some(crash.time);
+        }
+        begins
+    };
+    crashes.iter().filter(begins).count()
+}
--- a/chestnutstage_core/tests/quarantine.rs
+++ b/chestnutstage_core/tests/quarantine.rs
@@ -73,7 +73,9 @@
     let mut quarantine = crashed("shared bad", &[1_000, 1_100]);
     assert!(!refuses(&mut quarantine, 5_000, "bad"));
     quarantine.record_crash(at(5_000), engine(3), &parts("shared bad"), Started);
-    assert!(!refuses(&mut quarantine, 5_499, "bad"), "peers may object");
+    let held = quarantine.check(at(5_499), &parts("shared bad")).unwrap_err();
+    assert_eq!(held.retry, Duration::from_secs(1), "held while peers may object");
+    assert!(quarantine.take_changes().is_empty(), "not convicted yet");
     let verdict = quarantine.check(at(5_500), &parts("shared bad other")).unwrap_err();
     assert_eq!((verdict.part, verdict.crashes), (part("bad"), 3), "the later part at a tie");
     assert_eq!(verdict.retry, Duration::from_millis(9_500));
@@ -335,6 +337,75 @@
     assert!(quarantine.sizes().0 == SUSPECTS_MAX && quarantine.check(at(6_000), &long).is_ok());
 }
 
+/// One instance convicts a bystander before it learns of the culprit that explains the same ends.
+#[test]
+fn bystander_released() {
+    let mut fleet = fleet(2);
+    for number in 0..3 {
+        fleet[0].record_crash(at(1_000), engine(number), &parts("subject"), Started);
+        fleet[1].record_crash(at(1_000), engine(number), &parts("bad"), Started);
+    }
+    assert!(refuses(&mut fleet[0], 1_600, "subject"));
+    fleet[1].record_crash(at(1_700), engine(3), &parts("bad"), Started);
+    exchange(2_300, &mut fleet);
+    for quarantine in &mut fleet {
+        assert!(refuses(quarantine, 2_400, "bad") && !refuses(quarantine, 2_400, "subject"));
+    }
+}
+
+/// A part that was answered before begins to end engines quickly.
+#[test]
+fn turned_bad() {
+    let mut quarantine = Quarantine::new("i0".into());
+    quarantine.record_progress(at(0), &parts("bad"));
+    let mut refused = None;
+    for number in 0..100 {
+        let now = 1_000 + number * 150;
+        if refuses(&mut quarantine, now, "bad") {
+            refused = refused.or(Some(now));
+        } else {
+            quarantine.record_crash(at(now), engine(number), &parts("bad"), Started);
+        }
+    }
+    let fifth = 1_000 + 4 * 150;
+    assert!(refused.is_some_and(|now| now <= fifth + 3_000), "{refused:?}");
+}
+
+/// All engines lose power at once, and one more ends later, before anything was answered again.
+#[test]
+fn late_end_after_outage() {
+    let mut quarantine = Quarantine::new("i0".into());
+    quarantine.record_progress(at(9_900), &parts("shared"));
+    for number in 0..18 {
+        quarantine.record_crash(at(10_000), engine(number), &parts("shared"), Started);
+    }
+    quarantine.record_crash(at(15_000), engine(18), &parts("shared"), Waiting);
+    assert!(!refuses(&mut quarantine, 16_000, "shared"));
+}
+
+/// An instance applies a report that was delayed for 5 s; what it passes on must not acquit the culprit.
+#[test]
+fn delayed_report() {
+    let mut fleet = fleet(2);
+    fleet[0].record_progress(at(1_000), &parts("bad"));
+    for number in 0..3 {
+        fleet[0].record_crash(at(70_000), engine(number), &parts("bad"), Started);
+    }
+    let old = fleet[0].reports(at(70_600), true);
+    fleet[1].apply(at(75_600), &old);
+    for now in [75_700, 75_800, 75_900] {
+        exchange(now, &mut fleet);
+    }
+    assert!(fleet.iter_mut().all(|q| refuses(q, 75_950, "bad")));
+}
+
+/// An instance that knows no members sends no trials.
+#[test]
+fn no_members() {
+    let mut quarantine = crashed("bad", &[0, 0, 0]);
+    assert!(refuses(&mut quarantine, 30_000, "bad"));
+}
+
 proptest! {
     #![proptest_config(Config { cases: 1_000, rng_seed: RngSeed::Fixed(17), failure_persistence: None, ..Config::default() })]
 
--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use derive_more::Display;
 use futures::FutureExt;
 use futures::future::{BoxFuture, pending};
-use http::header::CONNECTION;
+use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -512,6 +512,11 @@
         self.head.status.is_success()
     }
 
+    /// Whether only the end of the connection marks the end of the body.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        !self.head.headers.contains_key(CONTENT_LENGTH) && !self.head.headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Reads the next data of the body; `None` at its end.
     pub(crate) async fn next_data(&mut self) -> Option<hyper::Result<Bytes>> {
         next_data(&mut self.body, &self.channel).await
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -299,6 +299,10 @@
             Err(_) => return Forwarded::Response(self.fail()),
         };
         let closes = upstream.closes();
+        // An answer that ends with its connection may have been cut.
+        if upstream.is_success() && !upstream.ends_with_connection() {
+            self.shared.record_progress(&self.shared_parts);
+        }
         let Upstream { mut head, channel, key, idle_share, grant: _grant, .. } = *upstream;
         if !closes {
             self.shared.channels.put(key, channel, idle_share);
@@ -320,9 +324,6 @@
             self.fallback = Some((head, bytes));
             return Forwarded::Repeat(Box::new(self));
         }
-        if head.status.is_success() {
-            self.shared.record_progress(&self.shared_parts);
-        }
         let took = self.arrived.elapsed();
         info!(request = self.id, status = head.status.as_u16(), ms = took.as_millis() as u64; "response complete");
         histogram!("chestnutstage_answer_seconds").record(took.as_secs_f64());
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -360,7 +360,7 @@
             marks: if marked { store_cache.digests() } else { Vec::new() },
             rules_age: store_cache.rules_age(),
             leaving: self.is_leaving().await,
-            quarantine: self.shared.quarantine_reports(all_reports),
+            quarantine: if marked { self.shared.quarantine_reports(all_reports) } else { Vec::new() },
         };
         match postcard::to_stdvec(&state) {
             Ok(bytes) => Some(Bytes::from(bytes)),
--- a/chestnutstage_gateway/src/quarantine.rs
+++ b/chestnutstage_gateway/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Crashes and progress under requests, as recorded in the quarantine of prompt parts.
 //!
-//! A stream that breaks at its beginning may have ended its engine. Whether the engine has ended is asked of the engine itself:
-//! one that still reports its load has only broken off an answer.
+//! A stream that breaks at its beginning may have ended its engine. The engine itself is asked: only one that can't be connected
+//! to has ended.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard, PoisonError};
@@ -15,6 +15,7 @@
 use metrics::{counter, gauge};
 use tokio::time::timeout;
 
+use crate::external::{ExternalError, Failure};
 use crate::shared::Shared;
 
 /// Timeout of the request that shows whether an engine still runs: several round trips between zones.
@@ -83,17 +84,18 @@
             return;
         }
         let shared = self.clone();
-        let seen = self.clock.now();
         tokio::spawn(async move {
             let BrokenRequest { id, parts, engine, address, evidence } = broken;
             let report = timeout(REPORT_TIMEOUT, shared.adapters.engines.report(address)).await;
-            let ended = !matches!(report, Ok(Ok(_)));
+            // One that is silent or overloaded may still run.
+            let ended = matches!(report, Ok(Err(ExternalError { failure: Failure::NoAnswer(_), .. })));
             info!(
                 request = id, endpoint:% = engine, ended, evidence:%, parts:? = parts;
                 "connection broken before the answer had progressed"
             );
             if ended {
-                shared.lock_quarantine().record_crash(seen, engine, &parts, evidence);
+                shared.report_failure(engine).await;
+                shared.lock_quarantine().record_crash(shared.clock.now(), engine, &parts, evidence);
             }
         });
     }
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -14,7 +14,6 @@
 use chestnutstage_core::relay::Relay;
 use futures::stream::unfold;
 use http::Response;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body as _, Frame};
 use log::{info, warn};
@@ -146,6 +145,7 @@
                     }
                 }
                 ReadOutcome::Broken(cause) => {
+                    self.record_broken();
                     if !self.resume(&cause).await {
                         return Some(Err(cause));
                     }
@@ -199,9 +199,7 @@
 
     /// Whether only the end of the connection marks the end of the response.
     fn ends_with_connection(&self) -> bool {
-        let Some(upstream) = &self.upstream else { return false };
-        let headers = &upstream.head.headers;
-        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+        self.upstream.as_ref().is_some_and(|upstream| upstream.ends_with_connection())
     }
 
     /// Handles data of the stream; returns `None` if that completes no event.
@@ -377,7 +375,6 @@
 
     /// Resumes a broken stream at another endpoint; returns whether that was possible.
     async fn resume(&mut self, cause: &str) -> bool {
-        self.record_broken();
         let Some(broken) = self.upstream.take() else { return false };
         self.exchange.shared.report_failure(broken.key).await;
         drop(broken);
@@ -396,11 +393,15 @@
 
     /// Logs a stream that was read to its end and keeps its connection.
     fn finish(&mut self) {
+        if !self.ends_with_connection() || self.upstream_events >= PROGRESS_EVENTS {
+            self.exchange.shared.record_progress(&self.exchange.shared_parts);
+        } else {
+            self.record_broken();
+        }
         let Some(upstream) = self.upstream.take() else { return };
         let events = self.exchange.relay.event_count();
         let pause_ms = self.longest_gap.as_millis() as u64;
         info!(request = self.exchange.id, events, pause_ms; "stream complete");
-        self.exchange.shared.record_progress(&self.exchange.shared_parts);
         let closes = upstream.closes();
         let Upstream { channel, key, idle_share, .. } = *upstream;
         if !closes {
--- a/chestnutstage_gateway/tests/crashing_parts.rs
+++ b/chestnutstage_gateway/tests/crashing_parts.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chestnutstage_gateway::external::{Fact, Topic};
-use common::backend::{Backend, END, Reply, stream};
+use common::backend::{Backend, END, Reply, event, stream};
 use common::external::FakeStore;
 use common::{Harness, catalog, listing};
 use reqwest::{Method, Response, StatusCode};
@@ -15,11 +15,22 @@
 /// Time within which every instance must refuse the part, the users' bound, less that of the slowest test machine.
 const REFUSED_WITHIN: Duration = Duration::from_secs(3);
 
+/// Head of a stream without an event.
+fn head() -> String {
+    let text = stream(1..=1);
+    text[..text.find("\r\n\r\n").unwrap() + 4].to_owned()
+}
+
 /// Engines that end under the part `bad` and answer other prompts. Ended ones answer no load probes.
 async fn engines(count: usize, probes_fail: bool) -> (Vec<Arc<Backend>>, Arc<FakeStore>, Vec<Harness>) {
-    let head = stream(1..=1);
-    let head = head[..head.find("\r\n\r\n").unwrap() + 4].to_owned();
-    let reply = Reply::CrashOn("bad", stream(1..=5) + END, head);
+    start(Reply::CrashOn("bad", stream(1..=5) + END, head()), count, probes_fail).await
+}
+
+async fn start(
+    reply: Reply,
+    count: usize,
+    probes_fail: bool,
+) -> (Vec<Arc<Backend>>, Arc<FakeStore>, Vec<Harness>) {
     let store = Arc::new(FakeStore::default());
     store.publish(Topic::Operators, vec![Fact::Catalog(Box::new(catalog(1)))]);
     let mut backends = Vec::new();
@@ -122,3 +133,30 @@
     assert_eq!(post(&harnesses[0], "first,good,own").await.status(), StatusCode::OK);
     assert_eq!(post(&harnesses[1], "first,fresh,own").await.status(), StatusCode::OK);
 }
+
+/// Engines that fall silent have not ended.
+#[tokio::test]
+async fn silent_engines() {
+    let (_backends, _store, harnesses) = start(Reply::Hang(head()), 12, true).await;
+    let posts = (0..6).map(|number| {
+        let harness = &harnesses[number % 2];
+        async move { post(harness, &format!("bad,own{number}")).await.status() }
+    });
+    let statuses = futures::future::join_all(posts).await;
+    assert!(statuses.iter().all(|s| *s != StatusCode::SERVICE_UNAVAILABLE), "{statuses:?}");
+    sleep(Duration::from_secs(1)).await;
+    assert_ne!(post(&harnesses[0], "bad,own").await.status(), StatusCode::SERVICE_UNAVAILABLE);
+}
+
+/// Engines end after their first event, on streams whose end only the connection marks.
+#[tokio::test]
+async fn ends_without_length() {
+    let cut = "HTTP/1.1 200 OK\r\nx-attempt: attempt-1\r\nx-seal: s\r\n\r\n".to_owned() + &event(1);
+    let (_backends, _store, harnesses) =
+        start(Reply::CrashOn("bad", stream(1..=5) + END, cut), 12, true).await;
+    for number in 0..4 {
+        post(&harnesses[0], &format!("bad,own{number}")).await;
+    }
+    sleep(REFUSED_WITHIN).await;
+    assert_eq!(post(&harnesses[1], "bad,own").await.status(), StatusCode::SERVICE_UNAVAILABLE);
+}
