--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod dispatcher;
 mod exchange;
 pub mod external;
+mod failover;
 mod gateway;
 mod headers;
 mod identity;
--- a/chestnutstage_gateway/src/quarantine.rs
+++ b/chestnutstage_gateway/src/quarantine.rs
@@ -10,6 +10,7 @@
 use chestnutstage_core::ids::ModelId;
 use chestnutstage_core::pool::{Cause, Key, Refusal};
 use chestnutstage_core::quarantine::{Change, Evidence, PartReport, PromptPart, Quarantine, Verdict};
+use chestnutstage_core::time::Time;
 use http::HeaderMap;
 use log::{info, warn};
 use metrics::{counter, gauge};
@@ -47,13 +48,7 @@
     ///
     /// [`Refusal`] if a part is quarantined; the request must not be sent.
     pub(crate) fn check_parts(&self, request: &str, parts: &[PromptPart]) -> Result<(), Refusal> {
-        if parts.is_empty() {
-            return Ok(());
-        }
-        let mut quarantine = self.lock_quarantine();
-        let checked = quarantine.check(self.clock.now(), parts);
-        log_changes(&mut quarantine);
-        checked.map_err(|verdict| refusal(request, verdict))
+        self.decide(request, parts, Quarantine::check)
     }
 
     /// Decides the same right before the request is sent; it may be the trial of a quarantined part.
@@ -62,13 +57,22 @@
     ///
     /// As for [`Self::check_parts`].
     pub(crate) fn admit_parts(&self, request: &str, parts: &[PromptPart]) -> Result<(), Refusal> {
+        self.decide(request, parts, Quarantine::admit)
+    }
+
+    fn decide(
+        &self,
+        request: &str,
+        parts: &[PromptPart],
+        decide: fn(&mut Quarantine, Time, &[PromptPart]) -> Result<(), Verdict>,
+    ) -> Result<(), Refusal> {
         if parts.is_empty() {
             return Ok(());
         }
         let mut quarantine = self.lock_quarantine();
-        let admitted = quarantine.admit(self.clock.now(), parts);
+        let decided = decide(&mut quarantine, self.clock.now(), parts);
         log_changes(&mut quarantine);
-        admitted.map_err(|verdict| refusal(request, verdict))
+        decided.map_err(|verdict| refusal(request, verdict))
     }
 
     /// Records that an engine answered a prompt with these parts beyond the beginning.
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -20,8 +20,9 @@
 use metrics::{counter, histogram};
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{Attempt, FAILOVERS_MAX, STALL_TIMEOUT_MIN, Upstream, next_data};
+use crate::attempt::{Attempt, STALL_TIMEOUT_MIN, Upstream, next_data};
 use crate::exchange::Exchange;
+use crate::failover::FAILOVERS_MAX;
 use crate::headers::remove_gateway_headers;
 use crate::liveness::Reachability;
 use crate::response::BoxResponse;
