--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -394,7 +394,8 @@
 
     /// Logs a stream that was read to its end and keeps its connection.
     fn finish(&mut self) {
-        if !self.ends_with_connection() || self.upstream_events >= PROGRESS_EVENTS {
+        let Some(upstream) = &self.upstream else { return };
+        if !upstream.ends_with_connection() || self.upstream_events >= PROGRESS_EVENTS {
             self.exchange.shared.record_progress(&self.exchange.shared_parts);
         } else {
             self.record_broken();
