--- a/chestnutstage_gateway/tests/silent_endpoints.rs
+++ b/chestnutstage_gateway/tests/silent_endpoints.rs
@@ -26,6 +26,29 @@
     harness.request(Method::POST, path).header("x-tokens", "100").body("prompt").send().await.unwrap()
 }
 
+/// A call, and the two endpoints that it met.
+struct Call {
+    response: Response,
+    first: Arc<Backend>,
+    other: Arc<Backend>,
+    _harness: Harness,
+}
+
+/// Sends a call to an endpoint that gives the reply `first`; once it has arrived there, a second endpoint with the reply `other`
+/// is listed.
+async fn call_with_replacement(first: Reply, other: Reply) -> Call {
+    let first = Backend::start(vec![first]).await;
+    let other = Backend::start(vec![other]).await;
+    let harness = Harness::start(vec![listing("d1", "desk", first.address)]).await;
+    let sending = tokio::spawn(harness.request(Method::GET, "/look/x").send());
+    while first.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("d2", "desk", other.address))]);
+    let response = sending.await.unwrap().unwrap();
+    Call { response, first, other, _harness: harness }
+}
+
 fn events(ids: std::ops::RangeInclusive<u64>) -> String {
     ids.map(event).collect()
 }
@@ -112,48 +135,29 @@
 #[tokio::test]
 async fn first_response_wins() {
     let slow = Reply::Pause(SILENCE, String::new(), answer("200 OK", "x-seal: s\r\n", "first"));
-    let silent = Backend::start(vec![slow]).await;
-    let hanging = Backend::start(vec![Reply::Hang(String::new())]).await;
-    let harness = Harness::start(vec![listing("d1", "desk", silent.address)]).await;
-    let sending = tokio::spawn(harness.request(Method::GET, "/look/x").send());
-    while silent.requests().is_empty() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("d2", "desk", hanging.address))]);
-    let response = sending.await.unwrap().unwrap();
-    assert_eq!((response.status(), response.text().await.unwrap()), (StatusCode::OK, "first".into()));
-    assert_eq!(hanging.requests().len(), 1, "the other endpoint was tried meanwhile");
-    hanging.closed.notified().await;
+    let call = call_with_replacement(slow, Reply::Hang(String::new())).await;
+    assert_eq!(
+        (call.response.status(), call.response.text().await.unwrap()),
+        (StatusCode::OK, "first".into())
+    );
+    assert_eq!(call.other.requests().len(), 1, "the other endpoint was tried meanwhile");
+    call.other.closed.notified().await;
 }
 
 #[tokio::test]
 async fn replacement_responds() {
-    let silent = Backend::start(vec![Reply::Hang(String::new())]).await;
-    let other = Backend::start(vec![success("other")]).await;
-    let harness = Harness::start(vec![listing("d1", "desk", silent.address)]).await;
-    let sending = tokio::spawn(harness.request(Method::GET, "/look/x").send());
-    while silent.requests().is_empty() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("d2", "desk", other.address))]);
-    assert_eq!(sending.await.unwrap().unwrap().text().await.unwrap(), "other");
-    silent.closed.notified().await;
+    let call = call_with_replacement(Reply::Hang(String::new()), success("other")).await;
+    assert_eq!(call.response.text().await.unwrap(), "other");
+    call.first.closed.notified().await;
 }
 
 /// The silent endpoint fails while another one works on the request.
 #[tokio::test]
 async fn first_fails_late() {
-    let silent = Backend::start(vec![Reply::Abandon(SILENCE, String::new())]).await;
     let slow = Reply::Pause(SILENCE, String::new(), answer("200 OK", "x-seal: s\r\n", "other"));
-    let other = Backend::start(vec![slow]).await;
-    let harness = Harness::start(vec![listing("d1", "desk", silent.address)]).await;
-    let sending = tokio::spawn(harness.request(Method::GET, "/look/x").send());
-    while silent.requests().is_empty() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("d2", "desk", other.address))]);
-    assert_eq!(sending.await.unwrap().unwrap().text().await.unwrap(), "other");
-    assert_eq!(silent.requests().len(), 1);
+    let call = call_with_replacement(Reply::Abandon(SILENCE, String::new()), slow).await;
+    assert_eq!(call.response.text().await.unwrap(), "other");
+    assert_eq!(call.first.requests().len(), 1);
 }
 
 /// The stream of the silent engine breaks while another engine reads the prompt.
@@ -174,16 +178,9 @@
 #[tokio::test]
 async fn replacement_fails() {
     let slow = Reply::Pause(SILENCE, String::new(), answer("200 OK", "x-seal: s\r\n", "first"));
-    let silent = Backend::start(vec![slow]).await;
-    let failing = Backend::start(vec![Reply::Bytes(answer("500 Broken", "x-seal: s\r\n", "no"))]).await;
-    let harness = Harness::start(vec![listing("d1", "desk", silent.address)]).await;
-    let sending = tokio::spawn(harness.request(Method::GET, "/look/x").send());
-    while silent.requests().is_empty() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    harness.store.publish(Topic::Endpoints, vec![Fact::Listed(listing("d2", "desk", failing.address))]);
-    assert_eq!(sending.await.unwrap().unwrap().text().await.unwrap(), "first");
-    assert_eq!(failing.requests().len(), 1, "the other endpoint was tried");
+    let call = call_with_replacement(slow, Reply::Bytes(answer("500 Broken", "x-seal: s\r\n", "no"))).await;
+    assert_eq!(call.response.text().await.unwrap(), "first");
+    assert_eq!(call.other.requests().len(), 1, "the other endpoint was tried");
 }
 
 /// The other engine sends a head and breaks, and the silent one goes on.
