A lifted verdict is logged as lifted, and progress of a stream is recorded once

Cause, found by reading the change again: the log said of every lifted verdict that the part had been answered, also where another part explains the ends since verdicts are derived anew; each whole stream took the lock of the quarantine and recorded its progress twice; the timeout of a load probe stood in two modules.

Change: the line says that the verdict is lifted; the end of a stream records progress only if its events have not; one constant.

--- a/chestnutstage_core/src/quarantine/mod.rs
+++ b/chestnutstage_core/src/quarantine/mod.rs
@@ -103,7 +103,7 @@
         /// Time since the latest progress under it, if any is known.
         answered: Option<Duration>,
     },
-    /// Progress lifted the conviction.
+    /// Progress, or another part that explains the crashes, lifted the conviction.
     Acquitted {
         /// The part.
         part: PromptPart,
--- a/chestnutstage_gateway/src/liveness.rs
+++ b/chestnutstage_gateway/src/liveness.rs
@@ -17,7 +17,7 @@
 /// Time without data after which an engine is probed with a request for a load report.
 const PROBE_DELAY: Duration = Duration::from_secs(1);
 /// Timeout of a probe: several round trips between zones.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time between the starts of two probes of a suspect engine.
 const SUSPECT_INTERVAL: Duration = Duration::from_millis(650);
 /// Consecutive failed probes after which an engine is suspect; one report may be lost in transit.
--- a/chestnutstage_gateway/src/quarantine.rs
+++ b/chestnutstage_gateway/src/quarantine.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use chestnutstage_core::ids::ModelId;
 use chestnutstage_core::pool::{Cause, Key, Refusal};
@@ -17,11 +16,9 @@
 use tokio::time::timeout;
 
 use crate::external::{ExternalError, Failure};
+use crate::liveness::PROBE_TIMEOUT;
 use crate::shared::Shared;
 
-/// Timeout of the request that shows whether an engine still runs: several round trips between zones.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(350);
-
 /// A request whose connection to an engine broke.
 pub(crate) struct BrokenRequest {
     pub(crate) id: String,
@@ -90,7 +87,7 @@
         let shared = self.clone();
         tokio::spawn(async move {
             let BrokenRequest { id, parts, engine, address, evidence } = broken;
-            let report = timeout(REPORT_TIMEOUT, shared.adapters.engines.report(address)).await;
+            let report = timeout(PROBE_TIMEOUT, shared.adapters.engines.report(address)).await;
             // One that is silent or overloaded may still run.
             let ended = matches!(report, Ok(Err(ExternalError { failure: Failure::NoAnswer(_), .. })));
             info!(
@@ -150,7 +147,7 @@
                 "convicted"
             }
             Change::Acquitted { part } => {
-                warn!(part:%; "prompt part was answered; prompts with it are accepted again");
+                warn!(part:%; "verdict on a prompt part lifted; prompts with it are accepted again");
                 "acquitted"
             }
             Change::Expired { part } => {
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -394,11 +394,12 @@
 
     /// Logs a stream that was read to its end and keeps its connection.
     fn finish(&mut self) {
-        let Some(upstream) = &self.upstream else { return };
-        if !upstream.ends_with_connection() || self.upstream_events >= PROGRESS_EVENTS {
-            self.exchange.shared.record_progress(&self.exchange.shared_parts);
-        } else {
-            self.record_broken();
+        if self.upstream.is_some() && self.upstream_events < PROGRESS_EVENTS {
+            if self.ends_with_connection() {
+                self.record_broken();
+            } else {
+                self.exchange.shared.record_progress(&self.exchange.shared_parts);
+            }
         }
         let Some(upstream) = self.upstream.take() else { return };
         let events = self.exchange.relay.event_count();
