Log the limit that an endpoint's response names

Each response that names one now leaves a line with the request, the endpoint and the limit, and is counted. No decision changes. What responses say of their endpoints moves to a module of its own.

--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -148,6 +148,7 @@
             }
         };
         self.shared.record_withdrawal(placement.key, &head).await;
+        self.shared.log_limit(&self.id, placement.key, &head);
         let upstream = Upstream {
             head,
             body,
--- a/chestnutstage_gateway/src/external.rs
+++ b/chestnutstage_gateway/src/external.rs
@@ -203,6 +203,9 @@
     pub failed_helper: HeaderName,
     /// Set on all responses of an endpoint that leaves.
     pub leaving: HeaderName,
+    /// Requests a second that an endpoint takes from all instances together, a decimal number; set on its responses for as
+    /// long as the limit holds.
+    pub limit: HeaderName,
 }
 
 /// Header names and values of a platform.
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod clock;
 mod conversation;
 mod dispatcher;
+mod endpoint_signals;
 mod exchange;
 pub mod external;
 mod failover;
--- a/chestnutstage_gateway/src/placer.rs
+++ b/chestnutstage_gateway/src/placer.rs
@@ -11,8 +11,6 @@
 use chestnutstage_core::ids::InstanceId;
 use chestnutstage_core::pool::{Cause, Grant, Key, Placement, Refusal};
 use chestnutstage_core::time::Time;
-use http::header::RETRY_AFTER;
-use http::{StatusCode, response};
 use kameo::error::SendError;
 use log::{debug, info, warn};
 use metrics::counter;
@@ -23,7 +21,6 @@
 use crate::dispatcher::{
     Adopt, Ended, Failed, FindEndpoint, FirstEvent, Granted, IsUnresponsive, Place, Withdraw,
 };
-use crate::headers::header_text;
 use crate::peers::Peers;
 use crate::response::DEFAULT_RETRY_DELAY;
 use crate::shared::Shared;
@@ -36,8 +33,6 @@
 const ANSWER_TIMEOUT_MAX: Duration = Duration::from_millis(120);
 /// Planners that are asked before a request is placed without them.
 const PLANNERS_ASKED_MAX: usize = 3;
-/// Longest time for which an endpoint can ask for no requests.
-const RETRY_AFTER_MAX: Duration = Duration::from_hours(1);
 /// Time for which a planner that did not answer is asked after the others.
 const BYPASS_TIME: Duration = Duration::from_secs(1);
 /// Time for which a planner keeps the grant of an instance whose link was lost: its request may go on.
@@ -156,23 +151,8 @@
         self.report_to_planner(PeerRequest::Failed(key));
     }
 
-    /// Records what a response says of its endpoint's readiness for further requests, here and at a planner.
-    pub(crate) async fn record_withdrawal(&self, key: Key, head: &response::Parts) {
-        let leaving = head.headers.contains_key(&self.adapters.header_format.names().leaving);
-        let wait = retry_after(head);
-        if !leaving && wait.is_none() {
-            return;
-        }
-        let span = if leaving { None } else { wait };
-        info!(endpoint:% = key, leaving, wait:?; "endpoint wants no further requests");
-        if self.dispatcher.ask(Withdraw(key, span)).await.is_err() {
-            warn!("dispatcher has stopped; withdrawal of endpoint {key} not recorded");
-        }
-        self.report_to_planner(PeerRequest::Withdrawn(key, span));
-    }
-
     /// Sends a report to a planner, unless this instance is one.
-    fn report_to_planner(&self, report: PeerRequest) {
+    pub(crate) fn report_to_planner(&self, report: PeerRequest) {
         if self.store_cache.is_planner() {
             return;
         }
@@ -202,15 +182,6 @@
     }
 }
 
-/// Time for which an endpoint that refused a request wants no others.
-fn retry_after(head: &response::Parts) -> Option<Duration> {
-    if head.status != StatusCode::SERVICE_UNAVAILABLE {
-        return None;
-    }
-    let seconds: f64 = header_text(&head.headers, &RETRY_AFTER)?.parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok().map(|wait| wait.min(RETRY_AFTER_MAX))
-}
-
 type Answer = Result<Granted, Refusal>;
 
 async fn ask_placement(
--- a/chestnutstage_gateway/tests/common/external.rs
+++ b/chestnutstage_gateway/tests/common/external.rs
@@ -205,6 +205,7 @@
             helpers: HeaderName::from_static("x-helpers"),
             failed_helper: HeaderName::from_static("x-fault"),
             leaving: HeaderName::from_static("x-leaving"),
+            limit: HeaderName::from_static("x-limit"),
         })
     }
 }
