--- a/chestnutstage_gateway/tests/common/backend.rs
+++ b/chestnutstage_gateway/tests/common/backend.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -44,6 +44,8 @@
     pub address: SocketAddr,
     /// Requests as received, with their bodies.
     pub requests: Mutex<Vec<String>>,
+    /// Times at which they arrived.
+    pub arrivals: Mutex<Vec<Instant>>,
     /// Number of connections accepted.
     pub accepted: AtomicUsize,
     /// Notified when the peer closes a connection on which the endpoint hangs or sends without end.
@@ -87,6 +89,7 @@
         let backend = Arc::new(Self {
             address: listener.local_addr().unwrap(),
             requests: Mutex::default(),
+            arrivals: Mutex::default(),
             accepted: AtomicUsize::new(0),
             closed: Notify::new(),
             sent: AtomicUsize::new(0),
@@ -120,6 +123,7 @@
                 reply => reply,
             };
             self.requests.lock().unwrap().push(request);
+            self.arrivals.lock().unwrap().push(Instant::now());
             match reply {
                 Reply::CrashOn(..) => unreachable!("resolved above"),
                 Reply::Pause(time, bytes, rest) => {
