Requests to an endpoint that names a limit need a permit, which one planner counts

Cause: no code read the limit (hypothesis 1). Class: a bound over all instances that an endpoint states at run time had no place in the placement, which knew listed bounds only. Hypothesis 2 was true of nothing yet, but a count by each instance would have been the next fault: nine instances with a token each exceed a limit of one a second.

Change: the limit that a response names is recorded with a version and told to all planners. For each limited endpoint one planner, by hash, gives out permits at the limited rate, starting with none; the planner that places a request asks it (one exchange), and places elsewhere if it is denied. Right before the send, a request placed before the limit was known, or with a permit older than a second, does not go out. In a divided network each part counts at the rate of its share of the planners. A response to a later request that names no limit lifts it. If all endpoints are limited, the rest is refused at once with a time to come back.

--- a/chestnutstage_core/src/pool/exchange.rs
+++ b/chestnutstage_core/src/pool/exchange.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{BACKOFF_MAX, Grant, Key, Peer, Pool};
+use super::{BACKOFF_MAX, Grant, Key, LimitReport, Peer, Pool};
 use crate::ids::InstanceId;
 use crate::time::Time;
 
@@ -27,6 +27,8 @@
     /// Endpoints that told the sender that they want no requests, each with the remaining time in milliseconds; `None`
     /// if it leaves.
     pub withdrawn: Vec<(Key, Option<u32>)>,
+    /// Request limits that endpoints named.
+    pub limits: Vec<LimitReport>,
 }
 
 /// Changes of a planner's grants. Times are relative to the sender's epoch.
@@ -42,6 +44,8 @@
     pub paused: Vec<(Key, u32)>,
     /// As in [`Snapshot`], but only recent ones.
     pub withdrawn: Vec<(Key, Option<u32>)>,
+    /// Request limits that changed recently.
+    pub limits: Vec<LimitReport>,
 }
 
 impl Changes {
@@ -67,14 +71,21 @@
     pub fn snapshot(&self, now: Time) -> Snapshot {
         let grants = self.mine.iter().map(|(number, grant)| (*number, grant.clone())).collect();
         let paces = self.sites.iter().filter_map(|(k, s)| s.own_pace.map(|p| (*k, p))).collect();
-        Snapshot { grants, paused: self.paused(now), paces, withdrawn: self.own_withdrawals(now, true) }
+        Snapshot {
+            grants,
+            paused: self.paused(now),
+            paces,
+            withdrawn: self.own_withdrawals(now, true),
+            limits: self.limit_reports(now, true),
+        }
     }
 
     /// Takes the changes since the last call, together with those of the calls before it that are sent again.
     pub fn take_changes(&mut self, now: Time) -> Changes {
         let fresh = std::mem::take(&mut self.unsent);
         let withdrawn = self.own_withdrawals(now, false);
-        let mut changes = Changes { paused: self.paused(now), withdrawn, ..Changes::default() };
+        let limits = self.limit_reports(now, false);
+        let mut changes = Changes { paused: self.paused(now), withdrawn, limits, ..Changes::default() };
         for sent in &self.resent {
             changes.extend(sent);
         }
@@ -97,6 +108,7 @@
     pub fn apply_snapshot(&mut self, now: Time, peer: InstanceId, sent: Time, snapshot: Snapshot) {
         self.apply_paused(now, &snapshot.paused);
         self.apply_withdrawals(now, &snapshot.withdrawn);
+        self.apply_limits(now, &snapshot.limits);
         for (key, pace) in &snapshot.paces {
             if let Some(site) = self.sites.get_mut(key) {
                 site.pace = (*pace, now);
@@ -112,6 +124,7 @@
         let clock = PeerClock { now, sent };
         self.apply_paused(now, &changes.paused);
         self.apply_withdrawals(now, &changes.withdrawn);
+        self.apply_limits(now, &changes.limits);
         let peer = self.peers.entry(peer).or_default();
         peer.heard = now;
         for (number, grant) in changes.added {
--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -8,6 +8,7 @@
 
 mod bulk;
 mod exchange;
+mod limits;
 mod load;
 mod place;
 mod plain;
@@ -28,6 +29,7 @@
 use crate::time::Time;
 
 pub use self::exchange::{Changes, Snapshot};
+pub use self::limits::{LimitReport, Permit};
 pub use self::place::{Cause, Demand, Helper, Placement, Refusal};
 
 /// Time without a message after which the grants of a peer expire; longer than any interval between two
@@ -155,6 +157,7 @@
     engines: HashMap<ModelId, Costs>,
     cold_rates: HashMap<ModelId, f64>,
     withdrawals: withdrawal::Withdrawals,
+    limits: limits::Limits,
     zones_out: Vec<ZoneId>,
     /// Grants of this instance by number.
     mine: BTreeMap<u64, Grant>,
@@ -188,7 +191,8 @@
     }
 
     /// Sets the number of planners, and whether this instance is one of them. One that is not places requests only
-    /// while it reaches no planner; it sends none to cold endpoints, whose rate is divided among the planners.
+    /// while it reaches no planner; it sends none to cold endpoints, whose rate is divided among the planners, and none to
+    /// limited ones.
     pub fn set_planners(&mut self, count: usize, included: bool) {
         self.planners = count;
         self.planners_max = self.planners_max.max(count);
@@ -335,6 +339,7 @@
         self.peers.retain(|_, p| now.since(p.heard) <= PEER_TIMEOUT);
         self.sites.retain(|_, s| now < s.expires);
         self.remove_expired_withdrawals(now);
+        self.remove_expired_limits(now);
     }
 
     /// Removes a peer that left.
--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -84,6 +84,9 @@
     /// Not enough KV memory for the prompt.
     #[display("no memory")]
     NoMemory,
+    /// All endpoints limit their requests, and no permit is left.
+    #[display("request limit")]
+    Limited,
     /// The prompt contains a part that ends engines.
     #[display("quarantined part")]
     Quarantined,
@@ -139,6 +142,7 @@
             .enumerate()
             .map(|(rank, (k, s))| (rank, *k, s))
             .filter(|(_, k, _)| !demand.tried.contains(k))
+            .filter(|(_, k, _)| self.permit_due(*k).is_none_or(|due| now >= due))
             .filter(|(_, _, s)| {
                 rate <= 0.0
                     || now >= s.cold_until
@@ -148,4 +152,18 @@
         let healthy: Vec<_> = open.iter().copied().filter(|(_, _, s)| now >= s.paused_until).collect();
         if healthy.is_empty() { open } else { healthy }
     }
+
+    /// Refuses a request for which no endpoint is open. `wait` is the time to come back, unless that is when a permit for a limited
+    /// endpoint may be asked for.
+    pub(super) fn refuse_closed(&self, now: Time, demand: &Demand<'_>, wait: Duration) -> Refusal {
+        let open = self.sites.iter().filter(|(k, s)| {
+            s.listing.service == *demand.service
+                && self.accepts_work(now, **k, s)
+                && !demand.tried.contains(k)
+        });
+        match open.filter_map(|(key, _)| self.permit_due(*key)).min() {
+            Some(due) => Refusal::new(Cause::Limited, due.since(now), demand.jitter),
+            None => Refusal::new(Cause::NoEndpoint, wait, demand.jitter),
+        }
+    }
 }
--- a/chestnutstage_core/src/pool/plain.rs
+++ b/chestnutstage_core/src/pool/plain.rs
@@ -26,7 +26,7 @@
     ) -> Result<GrantedPlacement, Refusal> {
         let open = self.open_sites(now, demand);
         if open.is_empty() {
-            return Err(Refusal::new(Cause::NoEndpoint, SLOT_TIME, demand.jitter));
+            return Err(self.refuse_closed(now, demand, SLOT_TIME));
         }
         let held = |key: &Key| loads.get(key).map_or(0, |l| l.held);
         let cost = |(_, key, site): &(usize, Key, &super::Site)| {
--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -137,13 +137,18 @@
             })
             .collect();
         if open.is_empty() {
-            return Err(Refusal::new(Cause::NoEndpoint, RETRY_MIN, demand.jitter));
+            return Err(self.refuse_closed(now, demand, RETRY_MIN));
         }
         // An unresponsive engine looks idle and would attract ever more requests.
         let responds = |c: &Candidate<'_>| !c.load.is_unresponsive(UNANSWERED_MAX);
         if open.iter().any(responds) {
             open.retain(responds);
         }
+        // Reading a long prompt is much work for one request of a limit.
+        let unlimited = |c: &Candidate<'_>| !self.is_limited(c.key);
+        if work == Work::Bulk && open.iter().any(unlimited) {
+            open.retain(unlimited);
+        }
         let planner_ratio = self.planner_ratio();
         let brief_count = brief_count(costs, &open, planner_ratio);
         let bias_cost = (REQUEST_BIAS_COST * self.peers.len() as f64).min(REQUEST_BIAS_MAX);
--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -84,7 +84,8 @@
     /// Places the request and starts to send it. From here on it counts as possibly run, also if the attempt is dropped.
     async fn begin_send(&mut self) -> Result<PendingSend, Attempt> {
         self.shared.check_parts(&self.id, &self.shared_parts).map_err(Attempt::Refused)?;
-        let Placed { placement, grant, planner } = self.place().await.map_err(Attempt::Refused)?;
+        let started = self.shared.clock.now();
+        let Placed { placement, grant, planner, permitted } = self.place().await.map_err(Attempt::Refused)?;
         self.log_placed(&placement, planner.as_ref());
         self.tried.push(placement.key);
         let reservations = self.reserve(&placement).await.map_err(Attempt::NotRun)?;
@@ -97,7 +98,9 @@
                 return Err(Attempt::NotRun(format!("failed to connect to {}: {e}", placement.listing.id)));
             }
         };
-        if let Some(rejected) = self.recheck(placement.key, planner.is_some()).await {
+        let unlisted = planner.is_some();
+        let check = IsOpen { key: placement.key, unlisted, placed: started, permitted };
+        if let Some(rejected) = self.recheck(check).await {
             return Err(rejected);
         }
         self.shared.admit_parts(&self.id, &self.shared_parts).map_err(Attempt::Refused)?;
@@ -148,7 +151,8 @@
             }
         };
         self.shared.record_withdrawal(placement.key, &head).await;
-        self.shared.log_limit(&self.id, placement.key, &head);
+        let sent_at = self.shared.clock.now() - sent.elapsed();
+        self.shared.record_limit(&self.id, placement.key, &head, sent_at).await;
         let upstream = Upstream {
             head,
             body,
@@ -198,8 +202,8 @@
     }
 
     /// Checks again, right before the send, what may have changed since the placement.
-    async fn recheck(&self, key: Key, unlisted: bool) -> Option<Attempt> {
-        if !self.shared.dispatcher.ask(IsOpen { key, unlisted }).await.unwrap_or(false) {
+    async fn recheck(&self, check: IsOpen) -> Option<Attempt> {
+        if !self.shared.dispatcher.ask(check).await.unwrap_or(false) {
             return Some(Attempt::NotRun("the endpoint no longer accepts requests".into()));
         }
         let Some(directory) = self.shared.store_cache.directory() else {
--- a/chestnutstage_gateway/src/conversation.rs
+++ b/chestnutstage_gateway/src/conversation.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chestnutstage_core::ids::InstanceId;
-use chestnutstage_core::pool::{Grant, Key};
+use chestnutstage_core::pool::{Grant, Key, LimitReport};
 use chestnutstage_core::time::Time;
 use futures::{SinkExt, StreamExt};
 use quinn::{Connection, RecvStream, SendStream};
@@ -39,6 +39,10 @@
     Failed(Key),
     /// Reports that an endpoint wants no requests for a time, or never again if that is `None`.
     Withdrawn(Key, Option<Duration>),
+    /// Reports the limit that an endpoint named, in requests a second, or that it names none any more.
+    Limit(Key, Option<f64>),
+    /// Asks for a permit for one request to a limited endpoint.
+    Permit(LimitReport),
 }
 
 /// Sent on the stream of a grant when the first event has arrived.
--- a/chestnutstage_gateway/src/dispatcher.rs
+++ b/chestnutstage_gateway/src/dispatcher.rs
@@ -1,13 +1,16 @@
 //! The actor that owns the pool. It supplies the current time; all decisions are made by the pool.
 
 use std::collections::HashSet;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutstage_core::catalog::Directory;
 use chestnutstage_core::ids::{EndpointId, InstanceId, ModelId, ZoneId};
-use chestnutstage_core::pool::{Changes, Demand, Grant, Key, Listing, Placement, Pool, Refusal, Snapshot};
+use chestnutstage_core::pool::{
+    Changes, Demand, Grant, Key, LimitReport, Listing, Permit, Placement, Pool, Refusal, Snapshot,
+};
 use chestnutstage_core::time::Time;
 use kameo::Actor;
 use kameo::message::{Context, Message};
@@ -54,6 +57,8 @@
     pub(crate) grant: Grant,
     /// Time of the planner's clock, to which the grant's times refer.
     pub(crate) now: Time,
+    /// Limits of the endpoints, each of which needs a permit.
+    pub(crate) limits: Vec<LimitReport>,
 }
 
 impl Message<Place> for Dispatcher {
@@ -74,7 +79,8 @@
         let placement = self.pool.place(now, &demand)?;
         self.granted.notify_one();
         let grant = self.pool.grant(placement.number).expect("the grant was just recorded").clone();
-        Ok(Granted { placement, grant, now })
+        let limits = self.pool.limits_on(&grant);
+        Ok(Granted { placement, grant, now, limits })
     }
 }
 
@@ -95,6 +101,10 @@
     pub(crate) key: Key,
     /// Whether an endpoint that is not listed here counts as open: the planner that chose it has a newer list.
     pub(crate) unlisted: bool,
+    /// Start of the placement.
+    pub(crate) placed: Time,
+    /// Whether it has the permits that it needs.
+    pub(crate) permitted: bool,
 }
 
 impl Message<IsOpen> for Dispatcher {
@@ -103,7 +113,8 @@
     async fn handle(&mut self, msg: IsOpen, _: &mut Context<Self, Self::Reply>) -> bool {
         let now = self.clock.now();
         let unlisted = msg.unlisted && !self.pool.is_listed(msg.key) && !self.pool.is_withdrawn(now, msg.key);
-        unlisted || self.pool.is_open(now, msg.key)
+        (unlisted || self.pool.is_open(now, msg.key))
+            && self.pool.may_send(now, msg.key, msg.placed, msg.permitted)
     }
 }
 
@@ -164,6 +175,67 @@
     }
 }
 
+/// Records the limit that a response named, or that it named none.
+pub(crate) struct RecordLimit {
+    pub(crate) key: Key,
+    /// Requests a second.
+    pub(crate) rate: Option<f64>,
+    /// Time at which the request was sent.
+    pub(crate) sent: Time,
+}
+
+impl Message<RecordLimit> for Dispatcher {
+    /// Whether the limit changed.
+    type Reply = bool;
+
+    async fn handle(&mut self, msg: RecordLimit, _: &mut Context<Self, Self::Reply>) -> bool {
+        let changed = self.pool.record_limit(self.clock.now(), msg.key, msg.rate, msg.sent);
+        if changed {
+            self.granted.notify_one();
+        }
+        changed
+    }
+}
+
+/// Takes a permit from this planner, which counts for the endpoint.
+pub(crate) struct TakePermit {
+    pub(crate) limit: LimitReport,
+    /// Fraction of the planners that this one counts for.
+    pub(crate) share: f64,
+    /// Random number between zero and one.
+    pub(crate) jitter: f64,
+}
+
+impl Message<TakePermit> for Dispatcher {
+    type Reply = Result<Permit, Infallible>;
+
+    async fn handle(&mut self, msg: TakePermit, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        Ok(self.pool.take_permit(self.clock.now(), &msg.limit, msg.share, msg.jitter))
+    }
+}
+
+/// Skips an endpoint in placements for a time, after a permit was denied.
+pub(crate) struct SkipLimited(pub(crate) Key, pub(crate) Duration);
+
+impl Message<SkipLimited> for Dispatcher {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: SkipLimited, _: &mut Context<Self, Self::Reply>) {
+        self.pool.skip_limited(self.clock.now(), msg.0, msg.1);
+    }
+}
+
+/// Asks for the endpoints that limit their requests.
+pub(crate) struct ListLimited;
+
+impl Message<ListLimited> for Dispatcher {
+    type Reply = Vec<Key>;
+
+    async fn handle(&mut self, _: ListLimited, _: &mut Context<Self, Self::Reply>) -> Vec<Key> {
+        self.pool.limited().collect()
+    }
+}
+
 /// Asks for the endpoint at an address.
 pub(crate) struct FindEndpoint(pub(crate) SocketAddr);
 
@@ -312,6 +384,9 @@
     async fn handle(&mut self, msg: LoadReported, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
         let now = self.clock.now();
         self.pool.set_pace(now, msg.0, msg.1.pace);
+        if msg.1.limit.is_some() {
+            self.pool.record_limit(now, msg.0, msg.1.limit, now);
+        }
         if msg.1.leaving {
             self.pool.withdraw(now, msg.0, None);
         }
--- a/chestnutstage_gateway/src/endpoint_signals.rs
+++ b/chestnutstage_gateway/src/endpoint_signals.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use chestnutstage_core::pool::Key;
+use chestnutstage_core::time::Time;
 use http::header::RETRY_AFTER;
-use http::{HeaderMap, HeaderName, StatusCode, response};
+use http::{StatusCode, response};
 use log::{info, warn};
 use metrics::counter;
 
 use crate::conversation::PeerRequest;
-use crate::dispatcher::Withdraw;
+use crate::dispatcher::{RecordLimit, Withdraw};
 use crate::headers::header_text;
 use crate::shared::Shared;
 
@@ -35,13 +36,30 @@
         self.report_to_planner(PeerRequest::Withdrawn(key, span));
     }
 
-    /// Logs the limit that a response names.
-    pub(crate) fn log_limit(&self, request: &str, key: Key, head: &response::Parts) {
-        let Some(per_second) = named_limit(&head.headers, &self.adapters.header_format.names().limit) else {
+    /// Records the limit that the response to a request names, or that it names none, here and at a planner. `sent` is the time at
+    /// which the request was sent.
+    pub(crate) async fn record_limit(&self, request: &str, key: Key, head: &response::Parts, sent: Time) {
+        let format = &self.adapters.header_format;
+        let rate = format.request_limit(&head.headers);
+        let echo = header_text(&head.headers, &format.names().attempt);
+        // A response without a limit says something only if it is certain whose response it is.
+        if echo.map_or(rate.is_none(), |id| id != request) {
+            return;
+        }
+        if rate.is_some() {
+            counter!("chestnutstage_limits_named_total").increment(1);
+        }
+        let Ok(changed) = self.dispatcher.ask(RecordLimit { key, rate, sent }).await else {
+            warn!("dispatcher has stopped; limit of endpoint {key} not recorded");
             return;
         };
-        info!(request, endpoint:% = key, per_second; "endpoint names a request limit");
-        counter!("chestnutstage_limits_named_total").increment(1);
+        if changed {
+            info!(request, endpoint:% = key, per_second:? = rate; "request limit of an endpoint changed");
+        }
+        // Only planners learn of the changes that others heard.
+        if changed || rate.is_some() {
+            self.report_to_planner(PeerRequest::Limit(key, rate));
+        }
     }
 }
 
@@ -53,9 +71,3 @@
     let seconds: f64 = header_text(&head.headers, &RETRY_AFTER)?.parse().ok()?;
     Duration::try_from_secs_f64(seconds).ok().map(|wait| wait.min(RETRY_AFTER_MAX))
 }
-
-/// Requests a second that an endpoint takes from all instances together; the lowest of several values.
-fn named_limit(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
-    let values = headers.get_all(name).iter().filter_map(|value| value.to_str().ok()?.trim().parse().ok());
-    values.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0).min_by(f64::total_cmp)
-}
--- a/chestnutstage_gateway/src/external.rs
+++ b/chestnutstage_gateway/src/external.rs
@@ -203,9 +203,6 @@
     pub failed_helper: HeaderName,
     /// Set on all responses of an endpoint that leaves.
     pub leaving: HeaderName,
-    /// Requests a second that an endpoint takes from all instances together, a decimal number; set on its responses for as
-    /// long as the limit holds.
-    pub limit: HeaderName,
 }
 
 /// Header names and values of a platform.
@@ -223,6 +220,10 @@
     /// Header value that lists helpers, each with the reservation that holds its part of the prompt.
     fn helpers(&self, helpers: &[(SocketAddr, Option<String>)]) -> Option<HeaderValue>;
 
+    /// Requests a second that an endpoint takes from all instances together, as the headers of its responses name it for as long
+    /// as the limit holds; the lowest of several values.
+    fn request_limit(&self, headers: &HeaderMap) -> Option<f64>;
+
     /// Address of the helper that kept a request from running.
     fn failed_helper(&self, value: &HeaderValue) -> Option<SocketAddr>;
 }
@@ -240,6 +241,8 @@
     pub used: u64,
     /// Whether the engine leaves.
     pub leaving: bool,
+    /// Requests a second that it takes from all instances together, if the report names a limit.
+    pub limit: Option<f64>,
 }
 
 /// Control API of the engines.
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod observed_stream;
 mod peer_message;
 mod peers;
+mod permits;
 mod placer;
 mod quarantine;
 mod read_budget;
--- a/chestnutstage_gateway/src/placer.rs
+++ b/chestnutstage_gateway/src/placer.rs
@@ -19,7 +19,7 @@
 
 use crate::conversation::{Conversation, FirstEventArrived, PeerRequest};
 use crate::dispatcher::{
-    Adopt, Ended, Failed, FindEndpoint, FirstEvent, Granted, IsUnresponsive, Place, Withdraw,
+    Adopt, Ended, Failed, FindEndpoint, FirstEvent, Granted, IsUnresponsive, ListLimited, Place, Withdraw,
 };
 use crate::peers::Peers;
 use crate::response::DEFAULT_RETRY_DELAY;
@@ -31,6 +31,10 @@
 const ANSWER_TIMEOUT_MIN: Duration = Duration::from_millis(30);
 /// Longest time within which a planner has to answer.
 const ANSWER_TIMEOUT_MAX: Duration = Duration::from_millis(120);
+/// Fraction of that time in which permits for limited endpoints are asked for.
+const PERMIT_TIME_SHARE: f64 = 0.7;
+/// Denied permits after which limited endpoints are left out of a placement.
+const PERMIT_DENIALS_MAX: u32 = 2;
 /// Planners that are asked before a request is placed without them.
 const PLANNERS_ASKED_MAX: usize = 3;
 /// Time for which a planner that did not answer is asked after the others.
@@ -82,10 +86,19 @@
     pub(crate) grant: GrantGuard,
     /// The planner that made it; `None` if it was made here.
     pub(crate) planner: Option<InstanceId>,
+    /// Whether it has permits for limited endpoints.
+    pub(crate) permitted: bool,
+}
+
+impl Place {
+    /// Time within which a planner has to answer.
+    fn answer_timeout(&self) -> Duration {
+        self.first.mul_f64(ANSWER_TARGET_SHARE).clamp(ANSWER_TIMEOUT_MIN, ANSWER_TIMEOUT_MAX)
+    }
 }
 
 impl Shared {
-    fn peers(&self) -> Option<Arc<Peers>> {
+    pub(crate) fn peers(&self) -> Option<Arc<Peers>> {
         self.peers.get()?.upgrade()
     }
 
@@ -105,7 +118,7 @@
     pub(crate) async fn place(self: &Arc<Self>, place: Place) -> Result<Placed, Refusal> {
         let peers = self.peers().filter(|_| !self.store_cache.is_planner());
         let Some(peers) = peers else { return self.place_here(place).await.map(|(placed, _)| placed) };
-        let limit = place.first.mul_f64(ANSWER_TARGET_SHARE).clamp(ANSWER_TIMEOUT_MIN, ANSWER_TIMEOUT_MAX);
+        let limit = place.answer_timeout();
         for planner in peers.planners_to_ask().into_iter().take(PLANNERS_ASKED_MAX) {
             match timeout(limit, ask_placement(&peers, &planner, &place)).await {
                 Ok(Ok(Ok((granted, conversation)))) => {
@@ -120,17 +133,17 @@
         }
         counter!("chestnutstage_placed_alone_total").increment(1);
         info!("no planner answers; the request is placed without one");
-        let (Placed { placement, grant: own, .. }, grant) = self.place_here(place).await?;
+        let (Placed { placement, grant: own, permitted, .. }, grant) = self.place_here(place).await?;
         let (events, received) = unbounded_channel();
         tokio::spawn(keep_grant(peers, grant, Keeper::Own(own), received));
-        Ok(Placed { placement, grant: GrantGuard::Remote(events), planner: None })
+        Ok(Placed { placement, grant: GrantGuard::Remote(events), planner: None, permitted })
     }
 
     async fn place_here(self: &Arc<Self>, place: Place) -> Result<(Placed, Grant), Refusal> {
-        match self.dispatcher.ask(place).await {
-            Ok(Granted { placement, grant, .. }) => {
-                let guard = GrantGuard::Local { shared: self.clone(), number: placement.number };
-                Ok((Placed { placement, grant: guard, planner: None }, grant))
+        match self.grant(place).await {
+            Ok((Granted { placement, grant, limits, .. }, guard)) => {
+                let permitted = !limits.is_empty();
+                Ok((Placed { placement, grant: guard, planner: None, permitted }, grant))
             }
             Err(SendError::HandlerError(refusal)) => Err(refusal),
             Err(e) => {
@@ -140,6 +153,27 @@
         }
     }
 
+    /// Places a request by the pool of this instance, with permits for limited endpoints. After some denials limited endpoints
+    /// are left out.
+    async fn grant(
+        self: &Arc<Self>,
+        mut place: Place,
+    ) -> Result<(Granted, GrantGuard), SendError<Place, Refusal>> {
+        let until = Instant::now() + place.answer_timeout().mul_f64(PERMIT_TIME_SHARE);
+        let mut denials = 0;
+        loop {
+            let granted = self.dispatcher.ask(place.clone()).await?;
+            let guard = GrantGuard::Local { shared: self.clone(), number: granted.placement.number };
+            if self.obtain_permits(&granted.limits, until).await {
+                return Ok((granted, guard));
+            }
+            denials += 1;
+            if denials >= PERMIT_DENIALS_MAX || Instant::now() >= until {
+                place.tried.extend(self.dispatcher.ask(ListLimited).await.unwrap_or_default());
+            }
+        }
+    }
+
     /// Reports a failure of an endpoint here and, unless this instance is one, to a planner.
     pub(crate) async fn report_failure(&self, key: Key) {
         match self.dispatcher.ask(Failed(key)).await {
@@ -203,11 +237,12 @@
     granted: Granted,
     conversation: Conversation,
 ) -> Placed {
-    let Granted { placement, grant, now } = granted;
+    let Granted { placement, grant, now, limits } = granted;
     let grant = grant.translate(peers.shared.clock.now(), now);
     let (events, received) = unbounded_channel();
     tokio::spawn(keep_grant(peers.clone(), grant, Keeper::Planner(Box::new(conversation)), received));
-    Placed { placement, grant: GrantGuard::Remote(events), planner: Some(planner) }
+    let permitted = !limits.is_empty();
+    Placed { placement, grant: GrantGuard::Remote(events), planner: Some(planner), permitted }
 }
 
 /// Who knows of a grant.
@@ -321,6 +356,14 @@
                 }
                 conversation.send(&()).await
             }
+            Ok(PeerRequest::Limit(key, rate)) => {
+                self.shared.record_told_limit(key, rate).await;
+                conversation.send(&()).await
+            }
+            Ok(PeerRequest::Permit(limit)) => {
+                let permit = self.shared.serve_permit(limit).await;
+                conversation.send(&permit).await
+            }
             Ok(PeerRequest::Failed(key)) => {
                 if self.shared.dispatcher.ask(Failed(key)).await.is_err() {
                     warn!("dispatcher has stopped; failure of an endpoint not recorded");
@@ -335,16 +378,14 @@
     }
 
     async fn serve_placement(&self, mut conversation: Conversation, place: Place) -> Result<(), String> {
-        let answer: Answer = match self.shared.dispatcher.ask(place).await {
-            Ok(granted) => Ok(granted),
-            Err(SendError::HandlerError(refusal)) => Err(refusal),
+        let (answer, guard): (Answer, _) = match self.shared.grant(place).await {
+            Ok((granted, guard)) => (Ok(granted), Some(guard)),
+            Err(SendError::HandlerError(refusal)) => (Err(refusal), None),
             Err(e) => return Err(e.to_string()),
         };
         counter!("chestnutstage_placed_for_peers_total").increment(1);
-        let number = answer.as_ref().ok().map(|granted| granted.placement.number);
         let sent = conversation.send(&answer).await;
-        let Some(number) = number else { return sent };
-        let guard = GrantGuard::Local { shared: self.shared.clone(), number };
+        let Some(guard) = guard else { return sent };
         sent?;
         hold(conversation, &guard).await;
         Ok(())
--- a/chestnutstage_gateway/tests/common/external.rs
+++ b/chestnutstage_gateway/tests/common/external.rs
@@ -205,7 +205,6 @@
             helpers: HeaderName::from_static("x-helpers"),
             failed_helper: HeaderName::from_static("x-fault"),
             leaving: HeaderName::from_static("x-leaving"),
-            limit: HeaderName::from_static("x-limit"),
         })
     }
 }
@@ -234,6 +233,10 @@
         HeaderValue::from_str(&format!("{helpers:?}")).ok()
     }
 
+    fn request_limit(&self, headers: &HeaderMap) -> Option<f64> {
+        headers.get("x-limit")?.to_str().ok()?.parse().ok()
+    }
+
     fn failed_helper(&self, value: &HeaderValue) -> Option<SocketAddr> {
         value.to_str().ok()?.parse().ok()
     }
@@ -262,7 +265,7 @@
                     failure,
                 });
             }
-            Ok(LoadReport { pace: 1.0, waiting: 0, running: 0, used: 0, leaving: false })
+            Ok(LoadReport { pace: 1.0, waiting: 0, running: 0, used: 0, leaving: false, limit: None })
         }
         .boxed()
     }
