--- a/chestnutstage_core/src/pool/limits.rs
+++ b/chestnutstage_core/src/pool/limits.rs
@@ -160,9 +160,9 @@
         let planners = self.planners.max(1) as f64;
         let Some(limit) = self.limits.0.get_mut(&asked.key) else { return Permit::Granted };
         let Some(rate) = limit.rate else { return Permit::Granted };
-        let rate = rate * share.clamp(1.0 / planners, 1.0);
         let bucket = limit.bucket.get_or_insert(Bucket { tokens: 0.0, filled: now });
-        let Err(wait) = bucket.take(now, rate) else { return Permit::Granted };
+        let taken = bucket.take(now, rate * share.clamp(1.0 / planners, 1.0));
+        let Err(wait) = taken else { return Permit::Granted };
         // The planners come back one after the other, twice as often as there are permits.
         let turn = Duration::try_from_secs_f64(jitter * planners / 2.0 / rate).unwrap_or(DENIED_MAX);
         Permit::Denied(wait.saturating_add(turn).min(DENIED_MAX))
--- a/chestnutstage_gateway/tests/endpoint_limits.rs
+++ b/chestnutstage_gateway/tests/endpoint_limits.rs
@@ -96,6 +96,56 @@
     assert!(got >= limit / 2.0, "{got} requests a second at a limit of {limit}");
 }
 
+/// Instances that are no planners obtain permits as well.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limit_among_entries() {
+    let limit = 1.4;
+    let backends = [Backend::start(vec![limited("1.4")]).await, Backend::start(vec![success("done")]).await];
+    let names: Vec<_> = (0..20).map(|number| format!("i{number}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let harnesses = instances(&names, &backends).await;
+    let from = Instant::now() + IN_FORCE_AFTER;
+    let responses = load(&harnesses, Duration::from_millis(300), IN_FORCE_AFTER + WINDOW).await;
+    assert!(responses.iter().all(|(status, _)| *status == StatusCode::OK));
+    let most = largest_window(&backends[0], from);
+    assert!(most <= allowed(limit), "{most} requests within 4 s at a limit of {limit}");
+    assert!(most >= 2, "{most} requests within 4 s");
+}
+
+/// Once an endpoint names no limit any more, it gets its part of the load again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limit_lifted() {
+    let replies = std::iter::repeat_n(limited("2"), 12).chain([success("done")]).collect();
+    let backends = [Backend::start(replies).await, Backend::start(vec![success("done")]).await];
+    let harnesses = instances(&["i1", "i2"], &backends).await;
+    let started = Instant::now();
+    while backends[0].requests().len() < 60 {
+        load(&harnesses, Duration::from_millis(20), Duration::from_millis(200)).await;
+        assert!(started.elapsed() < Duration::from_secs(20), "{} requests", backends[0].requests().len());
+    }
+    assert!(started.elapsed() > Duration::from_secs(2), "at a limit of 2 a second");
+}
+
+/// Requests that were under way before the limit was known do not leave in one burst afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn burst_of_callers() {
+    let limit = 1.4;
+    let backends = [Backend::start(vec![limited("1.4")]).await];
+    let harnesses = instances(&["i1", "i2", "i3"], &backends).await;
+    assert_eq!(harnesses[0].status(Method::GET, "/look/x").await, StatusCode::OK);
+    sleep(IN_FORCE_AFTER).await;
+    let from = Instant::now();
+    let bursts = harnesses.iter().cycle().take(60).map(|harness| harness.status(Method::GET, "/look/x"));
+    let statuses = join_all(bursts).await;
+    assert!(
+        statuses.iter().all(|s| [StatusCode::OK, StatusCode::SERVICE_UNAVAILABLE].contains(s)),
+        "{statuses:?}"
+    );
+    sleep(Duration::from_millis(500)).await;
+    let got = arrived_since(&backends[0], from);
+    assert!(got <= allowed(limit), "{got} requests at once at a limit of {limit}");
+}
+
 /// If all endpoints of a service name limits, the rest is refused at once, with the time to come back.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn load_above_all_limits() {
