--- a/chestnutstage_gateway/tests/common/external.rs
+++ b/chestnutstage_gateway/tests/common/external.rs
@@ -249,6 +249,8 @@
     pub reserved: Mutex<HashMap<String, u64>>,
     pub granted: AtomicU64,
     pub full: AtomicBool,
+    /// Time that a reservation takes, in milliseconds.
+    pub delay: AtomicU64,
     /// Engines that return no load report.
     pub unresponsive: Mutex<Vec<SocketAddr>>,
     pub released: Notify,
@@ -278,6 +280,7 @@
         _: Duration,
     ) -> BoxFuture<'a, Result<bool, ExternalError>> {
         async move {
+            tokio::time::sleep(Duration::from_millis(self.delay.load(Ordering::SeqCst))).await;
             if self.full.load(Ordering::SeqCst) {
                 return Ok(false);
             }
--- a/chestnutstage_gateway/tests/endpoint_limits.rs
+++ b/chestnutstage_gateway/tests/endpoint_limits.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use chestnutstage_gateway::external::{Fact, Topic};
-use common::backend::{Backend, Reply, answer, success};
+use common::backend::{Backend, END, Reply, answer, stream, success};
 use common::external::FakeStore;
 use common::{Harness, catalog, listing};
 use futures::future::join_all;
@@ -146,6 +147,33 @@
     assert!(got <= allowed(limit), "{got} requests at once at a limit of {limit}");
 }
 
+/// A prompt that waits for memory while its engine names a limit is not sent without a permit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn placed_before_limit() {
+    let limited = (stream(1..=3) + END).replace("x-seal: s\r\n", "x-seal: s\r\nx-limit: 0.2\r\n");
+    let mut backends = Vec::new();
+    let mut listings = Vec::new();
+    for id in ["e1", "e2"] {
+        let backend = Backend::start(vec![Reply::Bytes(limited.clone())]).await;
+        listings.push(listing(id, "llm", backend.address));
+        backends.push(backend);
+    }
+    let harness = Harness::start(listings).await;
+    harness.engines.delay.store(200, Ordering::SeqCst);
+    let post = |tokens: &'static str| {
+        let request = harness.request(Method::POST, "/archive/x").header("x-tokens", tokens);
+        request.header("x-remaining", "60000").send()
+    };
+    let long = tokio::spawn(post("400000"));
+    sleep(Duration::from_millis(50)).await;
+    let others = ["50000", "50000", "100", "100"].map(post);
+    join_all(others).await;
+    assert!(backends.iter().all(|backend| !backend.requests().is_empty()), "both engines have named a limit");
+    assert_eq!(long.await.unwrap().unwrap().status(), StatusCode::SERVICE_UNAVAILABLE);
+    let sent = backends.iter().flat_map(|backend| backend.requests());
+    assert!(sent.into_iter().all(|request| !request.contains("x-tokens: 400000")));
+}
+
 /// If all endpoints of a service name limits, the rest is refused at once, with the time to come back.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn load_above_all_limits() {
