--- a/chestnutstage_gateway/tests/common/external.rs
+++ b/chestnutstage_gateway/tests/common/external.rs
@@ -249,8 +249,10 @@
     pub reserved: Mutex<HashMap<String, u64>>,
     pub granted: AtomicU64,
     pub full: AtomicBool,
-    /// Time that a reservation takes, in milliseconds.
-    pub delay: AtomicU64,
+    /// Whether reservations wait until this is cleared.
+    pub held: AtomicBool,
+    /// Number of reservations asked for.
+    pub asked: AtomicU64,
     /// Engines that return no load report.
     pub unresponsive: Mutex<Vec<SocketAddr>>,
     pub released: Notify,
@@ -280,7 +282,10 @@
         _: Duration,
     ) -> BoxFuture<'a, Result<bool, ExternalError>> {
         async move {
-            tokio::time::sleep(Duration::from_millis(self.delay.load(Ordering::SeqCst))).await;
+            self.asked.fetch_add(1, Ordering::SeqCst);
+            while self.held.load(Ordering::SeqCst) {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
             if self.full.load(Ordering::SeqCst) {
                 return Ok(false);
             }
--- a/chestnutstage_gateway/tests/common/mod.rs
+++ b/chestnutstage_gateway/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use chestnutstage_core::catalog::{
     Account, CallerLimits, Catalog, ColdRate, Repeat, Route, ServiceSpec, Share, Target,
 };
+use chestnutstage_core::ids::InstanceId;
 use chestnutstage_core::pool::Listing;
 use chestnutstage_gateway::external::{Fact, Topic};
 use chestnutstage_gateway::settings::{Bounds, InstanceSettings, Listen, Settings, Store};
@@ -29,6 +30,7 @@
 
 /// A gateway with its test doubles and an HTTP client.
 pub struct Harness {
+    pub name: InstanceId,
     pub gateway: Gateway,
     pub store: Arc<FakeStore>,
     pub engines: Arc<FakeEngines>,
@@ -123,6 +125,7 @@
     }
 
     pub async fn with_settings(settings: Settings, store: Arc<FakeStore>) -> Self {
+        let name = settings.instance.name.clone();
         let engines = Arc::new(FakeEngines::default());
         let adapters = Adapters {
             registry: store.clone(),
@@ -131,7 +134,7 @@
         };
         let gateway = Gateway::start(settings, adapters).await.unwrap();
         let http = Client::builder().no_proxy().http1_only().build().unwrap();
-        Self { gateway, store, engines, http }
+        Self { name, gateway, store, engines, http }
     }
 
     pub async fn ready(&self) -> bool {
--- a/chestnutstage_gateway/tests/endpoint_limits.rs
+++ b/chestnutstage_gateway/tests/endpoint_limits.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use chestnutstage_core::ids::{InstanceId, ZoneId};
+use chestnutstage_core::planners::{Candidate, Planners};
 use chestnutstage_gateway::external::{Fact, Topic};
 use common::backend::{Backend, END, Reply, answer, stream, success};
 use common::external::FakeStore;
@@ -97,16 +99,21 @@
     assert!(got >= limit / 2.0, "{got} requests a second at a limit of {limit}");
 }
 
-/// Instances that are no planners obtain permits as well.
+/// Instances that are no planners tell one of the limit and get permits from it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn limit_among_entries() {
     let limit = 1.4;
     let backends = [Backend::start(vec![limited("1.4")]).await, Backend::start(vec![success("done")]).await];
     let names: Vec<_> = (0..20).map(|number| format!("i{number}")).collect();
     let names: Vec<_> = names.iter().map(String::as_str).collect();
-    let harnesses = instances(&names, &backends).await;
+    let mut harnesses = instances(&names, &backends).await;
+    let ids: Vec<_> = names.iter().map(|name| InstanceId::from(*name)).collect();
+    let zone = ZoneId::from("a");
+    let planners = Planners::select(ids.iter().map(|id| Candidate { id, zone: &zone, capacity: 1_000 }));
+    harnesses.sort_by_key(|harness| planners.contains(&harness.name));
+    let entries = &harnesses[..names.len() - planners.count()];
     let from = Instant::now() + IN_FORCE_AFTER;
-    let responses = load(&harnesses, Duration::from_millis(300), IN_FORCE_AFTER + WINDOW).await;
+    let responses = load(entries, Duration::from_millis(300), IN_FORCE_AFTER + WINDOW).await;
     assert!(responses.iter().all(|(status, _)| *status == StatusCode::OK));
     let most = largest_window(&backends[0], from);
     assert!(most <= allowed(limit), "{most} requests within 4 s at a limit of {limit}");
@@ -159,16 +166,19 @@
         backends.push(backend);
     }
     let harness = Harness::start(listings).await;
-    harness.engines.delay.store(200, Ordering::SeqCst);
+    harness.engines.held.store(true, Ordering::SeqCst);
     let post = |tokens: &'static str| {
         let request = harness.request(Method::POST, "/archive/x").header("x-tokens", tokens);
         request.header("x-remaining", "60000").send()
     };
     let long = tokio::spawn(post("400000"));
-    sleep(Duration::from_millis(50)).await;
-    let others = ["50000", "50000", "100", "100"].map(post);
-    join_all(others).await;
-    assert!(backends.iter().all(|backend| !backend.requests().is_empty()), "both engines have named a limit");
+    while harness.engines.asked.load(Ordering::SeqCst) == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    while backends.iter().any(|backend| backend.requests().is_empty()) {
+        post("100").await.unwrap();
+    }
+    harness.engines.held.store(false, Ordering::SeqCst);
     assert_eq!(long.await.unwrap().unwrap().status(), StatusCode::SERVICE_UNAVAILABLE);
     let sent = backends.iter().flat_map(|backend| backend.requests());
     assert!(sent.into_iter().all(|request| !request.contains("x-tokens: 400000")));
