--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -29,6 +29,7 @@
 use crate::external::Prompt;
 use crate::headers::{header_text, remove_hop_by_hop};
 use crate::quarantine::BrokenRequest;
+use crate::request_digest::RequestDigest;
 use crate::response::{BoxResponse, DEFAULT_RETRY_DELAY, Reason, error_response, full};
 use crate::shared::Shared;
 use crate::stream;
@@ -84,6 +85,7 @@
     pub(crate) prompt: Prompt,
     /// Parts of the prompt that other prompts may share.
     pub(crate) shared_parts: Arc<[PromptPart]>,
+    pub(crate) digest: RequestDigest,
     pub(crate) arrived: Instant,
     pub(crate) sends: u32,
     /// Error response of an endpoint, returned to the caller if no other endpoint does better.
@@ -158,6 +160,8 @@
             parts.headers.remove(name);
         }
         let body = read_body(body, directory.limits().body, deadline).await?;
+        let digest =
+            RequestDigest::new(&parts, key.as_deref(), &shared.adapters.header_format.names().content, &body);
         shared.earn_retries();
         Ok(Self {
             shared,
@@ -173,6 +177,7 @@
             customer,
             prompt,
             shared_parts,
+            digest,
             arrived,
             sends: 0,
             fallback: None,
@@ -271,8 +276,15 @@
 
     /// Records that the connection to an engine broke before the answer had progressed.
     pub(crate) fn record_broken(&self, engine: Key, address: SocketAddr, evidence: Evidence) {
-        let (id, parts) = (self.id.clone(), self.shared_parts.clone());
-        self.shared.record_broken(BrokenRequest { id, parts, engine, address, evidence });
+        self.shared.record_broken(BrokenRequest {
+            id: self.id.clone(),
+            parts: self.shared_parts.clone(),
+            digest: self.digest,
+            customer: self.customer.clone(),
+            engine,
+            address,
+            evidence,
+        });
     }
 
     fn log_failure(&self, reason: Reason) {
--- a/chestnutstage_gateway/src/external.rs
+++ b/chestnutstage_gateway/src/external.rs
@@ -203,6 +203,8 @@
     pub failed_helper: HeaderName,
     /// Set on all responses of an endpoint that leaves.
     pub leaving: HeaderName,
+    /// Headers that are part of what a request asks for, beside its path and body.
+    pub content: Vec<HeaderName>,
 }
 
 /// Header names and values of a platform.
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod placer;
 mod quarantine;
 mod read_budget;
+mod request_digest;
 mod reservations;
 mod response;
 pub mod settings;
--- a/chestnutstage_gateway/src/quarantine.rs
+++ b/chestnutstage_gateway/src/quarantine.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard, PoisonError};
 
-use chestnutstage_core::ids::ModelId;
+use chestnutstage_core::ids::{CustomerId, ModelId};
 use chestnutstage_core::pool::{Cause, Key, Refusal};
 use chestnutstage_core::quarantine::{Change, Evidence, PartReport, PromptPart, Quarantine, Verdict};
 use chestnutstage_core::time::Time;
@@ -17,12 +17,15 @@
 
 use crate::external::{ExternalError, Failure};
 use crate::liveness::PROBE_TIMEOUT;
+use crate::request_digest::RequestDigest;
 use crate::shared::Shared;
 
 /// A request whose connection to an engine broke.
 pub(crate) struct BrokenRequest {
     pub(crate) id: String,
     pub(crate) parts: Arc<[PromptPart]>,
+    pub(crate) digest: RequestDigest,
+    pub(crate) customer: Option<CustomerId>,
     pub(crate) engine: Key,
     pub(crate) address: SocketAddr,
     pub(crate) evidence: Evidence,
@@ -81,20 +84,17 @@
 
     /// Records a crash of the engine under a request if the engine has ended.
     pub(crate) fn record_broken(self: &Arc<Self>, broken: BrokenRequest) {
-        if broken.parts.is_empty() {
-            return;
-        }
         let shared = self.clone();
         tokio::spawn(async move {
-            let BrokenRequest { id, parts, engine, address, evidence } = broken;
+            let BrokenRequest { id, parts, digest, customer, engine, address, evidence } = broken;
             let report = timeout(PROBE_TIMEOUT, shared.adapters.engines.report(address)).await;
             // One that is silent or overloaded may still run.
             let ended = matches!(report, Ok(Err(ExternalError { failure: Failure::NoAnswer(_), .. })));
             info!(
-                request = id, endpoint:% = engine, ended, evidence:%, parts:? = parts;
+                request = id, endpoint:% = engine, ended, evidence:%, digest:%, customer:?, parts:? = parts;
                 "connection broken before the answer had progressed"
             );
-            if ended {
+            if ended && !parts.is_empty() {
                 shared.report_failure(engine).await;
                 shared.lock_quarantine().record_crash(shared.clock.now(), engine, &parts, evidence);
             }
--- a/chestnutstage_gateway/tests/common/external.rs
+++ b/chestnutstage_gateway/tests/common/external.rs
@@ -205,6 +205,7 @@
             helpers: HeaderName::from_static("x-helpers"),
             failed_helper: HeaderName::from_static("x-fault"),
             leaving: HeaderName::from_static("x-leaving"),
+            content: vec![HeaderName::from_static("x-tokens"), HeaderName::from_static("x-parts")],
         })
     }
 }
