--- a/chestnutstage_gateway/src/request_digest.rs
+++ b/chestnutstage_gateway/src/request_digest.rs
@@ -29,7 +29,9 @@
         for name in [&header::HOST].into_iter().chain(content) {
             let values: Vec<_> = parts.headers.get_all(name).iter().collect();
             add(&(values.len() as u64).to_le_bytes());
-            values.iter().for_each(|value| add(value.as_bytes()));
+            for value in values {
+                add(value.as_bytes());
+            }
         }
         add(body);
         let hash = hasher.finalize();
--- a/chestnutstage_gateway/tests/common/mod.rs
+++ b/chestnutstage_gateway/tests/common/mod.rs
@@ -26,6 +26,7 @@
 use self::external::{FakeEngines, FakeStore, TestHeaderFormat};
 
 pub const KEY: &str = "key-of-town";
+pub const OTHER_KEY: &str = "key-of-village";
 pub const HOST: &str = "routes.example";
 
 /// A gateway with its test doubles and an HTTP client.
@@ -70,7 +71,10 @@
         version,
         routes,
         services: BTreeMap::from([("desk".into(), desk), ("llm".into(), llm)]),
-        customers: vec![Account { id: "town".into(), keys: vec![KEY.into()], rank: None }],
+        customers: vec![
+            Account { id: "town".into(), keys: vec![KEY.into()], rank: None },
+            Account { id: "village".into(), keys: vec![OTHER_KEY.into()], rank: None },
+        ],
         limits: CallerLimits {
             headers: 8_192,
             body: 4_096,
