A request under which three endpoints ended is refused, by the quarantine of prompt parts

Cause: nothing remembered which request an endpoint was running when it ended; the quarantine knew shared parts of prompts only, and a plain call has none. Class: a request that kills its server is repeated, by the gateway and by its caller, until none is left.

Change: what requests have in common is a feature now, a part of a prompt or the whole request (digest of method, host, path, content, body and key). Both go through the same records, gossip, verdicts and trials. A whole response without a server error, of any status, speaks for it.

--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -90,6 +90,9 @@
     /// The prompt contains a part that ends engines.
     #[display("quarantined part")]
     Quarantined,
+    /// Endpoints ended under repeats of the request.
+    #[display("quarantined request")]
+    CrashingRequest,
 }
 
 /// Refusal of a request that can't be placed.
--- a/chestnutstage_core/src/quarantine/report.rs
+++ b/chestnutstage_core/src/quarantine/report.rs
@@ -1,4 +1,4 @@
-//! Exchange of what instances know of parts under which engines ended.
+//! Exchange of what instances know of features under which endpoints ended.
 //!
 //! Reports carry ages, and instances pass on what they heard. The transit of a report makes its times seem later; where
 //! a crash is known by an earlier time, that difference is taken off the report's other times too. So repeated reports
@@ -10,21 +10,21 @@
 use serde::{Deserialize, Serialize};
 
 use super::suspect::{CRASHES_MAX, Suspect};
-use super::{CONVICTED_TTL, Evidence, PromptPart, Quarantine, REPEAT_TIME, local};
+use super::{CONVICTED_TTL, Evidence, Feature, Quarantine, REPEAT_TIME, local};
 use crate::pool::Key;
 use crate::time::Time;
 
-/// Maximum number of parts reported at once.
+/// Maximum number of features reported at once.
 pub const REPORTS_MAX: usize = 64;
 
-/// What an instance knows of a part; ages are in milliseconds.
+/// What an instance knows of a feature; ages are in milliseconds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PartReport {
-    /// The part.
-    pub part: PromptPart,
+pub struct FeatureReport {
+    /// The feature.
+    pub feature: Feature,
     /// Largest position in a prompt.
     pub position: u8,
-    /// Engines that ended under the part, each with the age of the crash.
+    /// Endpoints that ended under it, each with the age of the crash.
     pub crashes: Vec<(Key, u32, Evidence)>,
     /// Age of the latest progress.
     pub answered: Option<u32>,
@@ -36,11 +36,11 @@
     pub refused: Option<u32>,
 }
 
-impl PartReport {
-    fn new(now: Time, part: PromptPart, suspect: &Suspect) -> Self {
+impl FeatureReport {
+    fn new(now: Time, feature: Feature, suspect: &Suspect) -> Self {
         let age = |time: Time| u32::try_from(now.since(time).as_millis()).unwrap_or(u32::MAX);
         Self {
-            part,
+            feature,
             position: suspect.position,
             crashes: suspect.crashes.iter().map(|(key, c)| (*key, age(c.time), c.evidence)).collect(),
             answered: suspect.progress().map(age),
@@ -58,9 +58,9 @@
 }
 
 impl Quarantine {
-    /// Parts with crashes, for the peers: convicted ones first, then those with the most points. Only those that changed
+    /// Features with crashes, for the peers: convicted ones first, then those with the most points. Only those that changed
     /// lately and, if `complete`, all convicted ones.
-    pub fn reports(&mut self, now: Time, complete: bool) -> Vec<PartReport> {
+    pub fn reports(&mut self, now: Time, complete: bool) -> Vec<FeatureReport> {
         let now = local(now);
         self.judge(now);
         let is_due = |s: &Suspect| (complete && s.convicted.is_some()) || now.since(s.changed) < REPEAT_TIME;
@@ -70,15 +70,15 @@
         suspects
             .iter()
             .take(REPORTS_MAX)
-            .map(|(part, suspect)| PartReport::new(now, **part, suspect))
+            .map(|(feature, suspect)| FeatureReport::new(now, **feature, suspect))
             .collect()
     }
 
     /// Applies the reports of a peer. They are judged together with all others that arrive before the next check.
-    pub fn apply(&mut self, now: Time, reports: &[PartReport]) {
+    pub fn apply(&mut self, now: Time, reports: &[FeatureReport]) {
         let now = local(now);
         for report in reports.iter().take(REPORTS_MAX).filter(|report| !report.is_expired()) {
-            self.suspect(report.part).merge(now, report);
+            self.suspect(report.feature).merge(now, report);
         }
         self.bound_suspects();
         self.judge_at = Time::ZERO;
@@ -86,7 +86,7 @@
 }
 
 impl Suspect {
-    fn merge(&mut self, now: Time, report: &PartReport) {
+    fn merge(&mut self, now: Time, report: &FeatureReport) {
         let before = self.knowledge();
         let received = |age: u32| now - Duration::from_millis(age.into());
         let (mut delay, mut earlier) = (Duration::ZERO, Duration::ZERO);
--- a/chestnutstage_core/src/quarantine/suspect.rs
+++ b/chestnutstage_core/src/quarantine/suspect.rs
@@ -1,4 +1,4 @@
-//! Crashes and progress under one part, and what follows from them.
+//! Crashes and progress under one feature, and what follows from them.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -8,15 +8,15 @@
 use crate::pool::Key;
 use crate::time::Time;
 
-/// Points at which a part without recent progress is convicted.
+/// Points at which a feature without recent progress is convicted.
 const POINTS_MIN: u32 = 6;
-/// Points at which a part with recent progress is convicted.
+/// Points at which a feature with recent progress is convicted.
 const ANSWERED_POINTS_MIN: u32 = 16;
-/// Number of bursts into which the crashes under a part with recent progress must fall: engines that lose power at once are one.
+/// Number of bursts into which the crashes under a feature with recent progress must fall: engines that lose power at once are one.
 const BURSTS_MIN: usize = 3;
 /// Time from the start of a burst to the start of the next one.
 const BURST_TIME: Duration = Duration::from_secs(1);
-/// Maximum number of crashes recorded under one part.
+/// Maximum number of crashes recorded under one feature.
 pub const CRASHES_MAX: usize = 32;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -25,7 +25,7 @@
     pub evidence: Evidence,
 }
 
-/// A part under which engines ended.
+/// A feature under which endpoints ended.
 #[derive(Debug, Default)]
 pub(super) struct Suspect {
     /// Largest position in a prompt.
@@ -74,7 +74,7 @@
         self.answered.max(self.told)
     }
 
-    /// Crashes later than the latest progress that are not `explained` by another part, oldest first.
+    /// Crashes later than the latest progress that are not `explained` by another feature, oldest first.
     pub fn effective(&self, explained: &BTreeSet<Key>) -> Vec<Crash> {
         let progress = self.progress();
         let later = self.crashes.iter().filter(|(_, crash)| Some(crash.time) > progress);
@@ -101,7 +101,7 @@
         self.progress().is_some_and(|time| crash.since(time) <= ANSWERED_MEMORY)
     }
 
-    /// Sets whether the part is convicted, and forgets trials before the latest progress.
+    /// Sets whether the feature is convicted, and forgets trials before the latest progress.
     pub fn set_convicted(&mut self, now: Time, convicted: bool) {
         self.convicted = convicted.then(|| self.convicted.unwrap_or(now));
         if !convicted {
--- a/chestnutstage_core/tests/quarantine.rs
+++ b/chestnutstage_core/tests/quarantine.rs
@@ -6,7 +6,7 @@
 
 use chestnutstage_core::pool::{Key, Listing};
 use chestnutstage_core::quarantine::{
-    ANSWERED_MAX, CRASHES_MAX, Change, Evidence, PartReport, PromptPart, Quarantine, REPORTS_MAX,
+    ANSWERED_MAX, CRASHES_MAX, Change, Evidence, Feature, FeatureReport, Quarantine, REPORTS_MAX,
     SUSPECTS_MAX,
 };
 use common::at;
@@ -15,11 +15,11 @@
 
 use Evidence::{Started, Waiting};
 
-fn part(id: &str) -> PromptPart {
-    PromptPart::new(&"llm".into(), id)
+fn part(id: &str) -> Feature {
+    Feature::part(&"llm".into(), id)
 }
 
-fn parts(ids: &str) -> Vec<PromptPart> {
+fn parts(ids: &str) -> Vec<Feature> {
     ids.split(' ').map(part).collect()
 }
 
@@ -77,11 +77,11 @@
     assert_eq!(held.retry, Duration::from_secs(1), "held while peers may object");
     assert!(quarantine.take_changes().is_empty(), "not convicted yet");
     let verdict = quarantine.check(at(5_500), &parts("shared bad other")).unwrap_err();
-    assert_eq!((verdict.part, verdict.crashes), (part("bad"), 3), "the later part at a tie");
+    assert_eq!((verdict.feature, verdict.crashes), (part("bad"), 3), "the later part at a tie");
     assert_eq!(verdict.retry, Duration::from_millis(9_500));
     assert!(!refuses(&mut quarantine, 5_500, "shared other"), "its crashes are explained");
     let changes = quarantine.take_changes();
-    assert!(matches!(&changes[..], [Change::Convicted { part: p, crashes, answered: None }]
+    assert!(matches!(&changes[..], [Change::Convicted { feature: p, crashes, answered: None }]
         if *p == part("bad") && crashes.len() == 3));
 }
 
@@ -175,7 +175,7 @@
     fleet[1].record_progress(at(11_100), &parts("shared fresh"));
     exchange(11_200, &mut fleet);
     assert!(fleet.iter_mut().all(|q| !refuses(q, 11_220, "shared fresh")));
-    assert_eq!(fleet[0].take_changes().last(), Some(&Change::Acquitted { part: part("fresh") }));
+    assert_eq!(fleet[0].take_changes().last(), Some(&Change::Acquitted { feature: part("fresh") }));
 }
 
 #[test]
@@ -247,7 +247,7 @@
     let admitted: Vec<_> = (0..8).filter(|i| !refuses(&mut fleet[*i], 10_100, "bad")).collect();
     assert_eq!(admitted.len(), 1);
     let winner = admitted[0];
-    assert_eq!(fleet[winner].take_changes().last(), Some(&Change::Trial { part: part("bad"), number: 1 }));
+    assert_eq!(fleet[winner].take_changes().last(), Some(&Change::Trial { feature: part("bad"), number: 1 }));
     assert!(refuses(&mut fleet[winner], 10_101, "bad"), "one request only");
     fleet[winner].record_crash(at(10_200), engine(3), &parts("bad"), Started);
     exchange(10_300, &mut fleet);
@@ -287,11 +287,11 @@
     let old = quarantine.reports(at(604_999), true);
     quarantine.remove_expired(at(605_000));
     assert_eq!(quarantine.sizes().0, 0);
-    assert_eq!(quarantine.take_changes().last(), Some(&Change::Expired { part: part("bad") }));
+    assert_eq!(quarantine.take_changes().last(), Some(&Change::Expired { feature: part("bad") }));
     quarantine.apply(at(605_000), &old);
     assert_eq!(quarantine.sizes().0, 1, "a peer had a request later");
     quarantine.remove_expired(at(1_300_000));
-    let outdated: Vec<_> = old.into_iter().map(|r| PartReport { refused: Some(600_000), ..r }).collect();
+    let outdated: Vec<_> = old.into_iter().map(|r| FeatureReport { refused: Some(600_000), ..r }).collect();
     quarantine.apply(at(1_300_000), &outdated);
     assert_eq!(quarantine.sizes().0, 0, "not brought back by a peer that is about to forget it");
 }
@@ -314,7 +314,7 @@
     assert!(refuses(&mut newcomer, 5, "bad") && !refuses(&mut newcomer, 5, "shared"));
     assert!(newcomer.to_string().contains(&format!("{} convicted", part("bad"))));
     let bytes = postcard::to_allocvec(&reports).unwrap();
-    assert_eq!(postcard::from_bytes::<Vec<PartReport>>(&bytes).unwrap(), reports);
+    assert_eq!(postcard::from_bytes::<Vec<FeatureReport>>(&bytes).unwrap(), reports);
 }
 
 #[test]
@@ -331,7 +331,7 @@
     assert!(suspects == SUSPECTS_MAX && answered <= ANSWERED_MAX, "{suspects} {answered}");
     let reports = quarantine.reports(at(6_000), true);
     assert_eq!(reports.len(), REPORTS_MAX);
-    assert_eq!((reports[0].part, reports[0].crashes.len()), (part("bad"), CRASHES_MAX), "convicted first");
+    assert_eq!((reports[0].feature, reports[0].crashes.len()), (part("bad"), CRASHES_MAX), "convicted first");
     let long: Vec<_> = (0..100_000).map(|i| part(&i.to_string())).collect();
     quarantine.record_crash(at(6_000), engine(1), &long, Started);
     assert!(quarantine.sizes().0 == SUSPECTS_MAX && quarantine.check(at(6_000), &long).is_ok());
--- a/chestnutstage_core/tests/quarantine_replay.rs
+++ b/chestnutstage_core/tests/quarantine_replay.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use chestnutstage_core::pool::{Key, Listing};
-use chestnutstage_core::quarantine::{Evidence, PromptPart, Quarantine};
+use chestnutstage_core::quarantine::{Evidence, Feature, Quarantine};
 use common::at;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -26,7 +26,7 @@
 struct Arrival {
     bad: bool,
     resumed: bool,
-    parts: Vec<PromptPart>,
+    parts: Vec<Feature>,
 }
 
 struct Running {
@@ -92,7 +92,7 @@
     let mut back = vec![0_u64; engines];
     let mut running: Vec<Running> = Vec::new();
     let mut outcome = Outcome::default();
-    let part = |id: &str| PromptPart::new(&"llm".into(), id);
+    let part = |id: &str| Feature::part(&"llm".into(), id);
     for now in (0..seconds * 1_000).step_by(STEP as usize) {
         let mut arrivals = Vec::new();
         let chance = |rate: u32| f64::from(rate) * STEP as f64 / 1e3;
--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -83,7 +83,7 @@
 
     /// Places the request and starts to send it. From here on it counts as possibly run, also if the attempt is dropped.
     async fn begin_send(&mut self) -> Result<PendingSend, Attempt> {
-        self.shared.check_parts(&self.id, &self.shared_parts).map_err(Attempt::Refused)?;
+        self.shared.check_features(&self.id, &self.features).map_err(Attempt::Refused)?;
         let started = self.shared.clock.now();
         let Placed { placement, grant, planner, permitted } = self.place().await.map_err(Attempt::Refused)?;
         self.log_placed(&placement, planner.as_ref());
@@ -103,7 +103,7 @@
         if let Some(rejected) = self.recheck(check).await {
             return Err(rejected);
         }
-        self.shared.admit_parts(&self.id, &self.shared_parts).map_err(Attempt::Refused)?;
+        self.shared.admit_features(&self.id, &self.features).map_err(Attempt::Refused)?;
         let request = self.request(&placement, reservations.as_ref());
         let request = request.ok_or(Attempt::Rejected((Reason::Malformed, None)))?;
         self.sends += 1;
@@ -305,6 +305,12 @@
         self.head.status.is_success()
     }
 
+    /// Whether a response that was read to its end shows that the endpoint ran the request and goes on. A failure of the endpoint may
+    /// have come before it began to run it, and a response that ends with its connection may have been cut.
+    pub(crate) fn has_run_through(&self) -> bool {
+        !self.head.status.is_server_error() && !self.ends_with_connection()
+    }
+
     /// Whether only the end of the connection marks the end of the body.
     pub(crate) fn ends_with_connection(&self) -> bool {
         !self.head.headers.contains_key(CONTENT_LENGTH) && !self.head.headers.contains_key(TRANSFER_ENCODING)
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -13,7 +13,7 @@
 use chestnutstage_core::catalog::{Repeat, Route};
 use chestnutstage_core::ids::{CustomerId, ModelId};
 use chestnutstage_core::pool::{Cause, Key, Refusal};
-use chestnutstage_core::quarantine::{Evidence, PromptPart};
+use chestnutstage_core::quarantine::{Evidence, Feature};
 use chestnutstage_core::relay::Relay;
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT};
 use http::request::Parts;
@@ -29,7 +29,7 @@
 use crate::external::Prompt;
 use crate::headers::{header_text, remove_hop_by_hop};
 use crate::quarantine::BrokenRequest;
-use crate::request_digest::RequestDigest;
+use crate::request_digest::digest;
 use crate::response::{BoxResponse, DEFAULT_RETRY_DELAY, Reason, error_response, full};
 use crate::shared::Shared;
 use crate::stream;
@@ -83,9 +83,8 @@
     pub(crate) key: Option<String>,
     pub(crate) customer: Option<CustomerId>,
     pub(crate) prompt: Prompt,
-    /// Parts of the prompt that other prompts may share.
-    pub(crate) shared_parts: Arc<[PromptPart]>,
-    pub(crate) digest: RequestDigest,
+    /// Parts of the prompt that other prompts may share, and the request itself.
+    pub(crate) features: Arc<[Feature]>,
     pub(crate) arrived: Instant,
     pub(crate) sends: u32,
     /// Error response of an endpoint, returned to the caller if no other endpoint does better.
@@ -160,8 +159,8 @@
             parts.headers.remove(name);
         }
         let body = read_body(body, directory.limits().body, deadline).await?;
-        let digest =
-            RequestDigest::new(&parts, key.as_deref(), &shared.adapters.header_format.names().content, &body);
+        let content = &shared.adapters.header_format.names().content;
+        let repeated = digest(&parts, key.as_deref(), content, &body);
         shared.earn_retries();
         Ok(Self {
             shared,
@@ -176,8 +175,7 @@
             key,
             customer,
             prompt,
-            shared_parts,
-            digest,
+            features: shared_parts.into_iter().chain([repeated]).collect(),
             arrived,
             sends: 0,
             fallback: None,
@@ -244,8 +242,11 @@
             retry:? = refusal.retry; "refused"
         );
         counter!("chestnutstage_refused_total", "reason" => refusal.cause.to_string()).increment(1);
-        let quarantined = refusal.cause == Cause::Quarantined;
-        let reason = if quarantined { Reason::Quarantined } else { Reason::Overloaded };
+        let reason = match refusal.cause {
+            Cause::Quarantined => Reason::Quarantined,
+            Cause::CrashingRequest => Reason::CrashingRequest,
+            _ => Reason::Overloaded,
+        };
         error_response(reason, Some(refusal.retry))
     }
 
@@ -274,14 +275,13 @@
             && Instant::now() < self.deadline
     }
 
-    /// Records that the connection to an engine broke before the answer had progressed.
-    pub(crate) fn record_broken(&self, engine: Key, address: SocketAddr, evidence: Evidence) {
+    /// Records that the connection to an endpoint broke before the answer had progressed.
+    pub(crate) fn record_broken(&self, endpoint: Key, address: SocketAddr, evidence: Evidence) {
         self.shared.record_broken(BrokenRequest {
             id: self.id.clone(),
-            parts: self.shared_parts.clone(),
-            digest: self.digest,
+            features: self.features.clone(),
             customer: self.customer.clone(),
-            engine,
+            endpoint,
             address,
             evidence,
         });
@@ -311,9 +311,8 @@
             Err(_) => return Forwarded::Response(self.fail()),
         };
         let closes = upstream.closes();
-        // An answer that ends with its connection may have been cut.
-        if upstream.is_success() && !upstream.ends_with_connection() {
-            self.shared.record_progress(&self.shared_parts);
+        if upstream.has_run_through() {
+            self.shared.record_progress(&self.features);
         }
         let Upstream { mut head, channel, key, idle_share, grant: _grant, .. } = *upstream;
         if !closes {
--- a/chestnutstage_gateway/src/peer_message.rs
+++ b/chestnutstage_gateway/src/peer_message.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chestnutstage_core::ids::{InstanceId, ZoneId};
-use chestnutstage_core::quarantine::PartReport;
+use chestnutstage_core::quarantine::FeatureReport;
 use chestnutstage_core::time::Time;
 use log::{debug, warn};
 use quinn::Connection;
@@ -29,8 +29,8 @@
     /// Age of the sender's copy of the operators' rules.
     pub(crate) rules_age: Duration,
     pub(crate) leaving: bool,
-    /// Prompt parts under which engines ended.
-    pub(crate) quarantine: Vec<PartReport>,
+    /// Features of requests under which endpoints ended.
+    pub(crate) quarantine: Vec<FeatureReport>,
 }
 
 /// Decodes a message: the time at which the receiver sent the last state that the sender has, then the sender's state.
--- a/chestnutstage_gateway/src/quarantine.rs
+++ b/chestnutstage_gateway/src/quarantine.rs
@@ -1,14 +1,14 @@
-//! Crashes and progress under requests, as recorded in the quarantine of prompt parts.
+//! Crashes and progress under requests, as recorded in the quarantine.
 //!
-//! A stream that breaks at its beginning may have ended its engine. The engine itself is asked: only one that can't be connected
-//! to has ended.
+//! A request whose connection breaks before its answer has progressed may have ended its endpoint. The endpoint itself is asked: only
+//! one that can't be connected to has ended.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard, PoisonError};
 
 use chestnutstage_core::ids::{CustomerId, ModelId};
 use chestnutstage_core::pool::{Cause, Key, Refusal};
-use chestnutstage_core::quarantine::{Change, Evidence, PartReport, PromptPart, Quarantine, Verdict};
+use chestnutstage_core::quarantine::{Change, Evidence, Feature, FeatureReport, Quarantine, Verdict};
 use chestnutstage_core::time::Time;
 use http::HeaderMap;
 use log::{info, warn};
@@ -17,16 +17,14 @@
 
 use crate::external::{ExternalError, Failure};
 use crate::liveness::PROBE_TIMEOUT;
-use crate::request_digest::RequestDigest;
 use crate::shared::Shared;
 
-/// A request whose connection to an engine broke.
+/// A request whose connection to an endpoint broke.
 pub(crate) struct BrokenRequest {
     pub(crate) id: String,
-    pub(crate) parts: Arc<[PromptPart]>,
-    pub(crate) digest: RequestDigest,
+    pub(crate) features: Arc<[Feature]>,
     pub(crate) customer: Option<CustomerId>,
-    pub(crate) engine: Key,
+    pub(crate) endpoint: Key,
     pub(crate) address: SocketAddr,
     pub(crate) evidence: Evidence,
 }
@@ -37,77 +35,72 @@
     }
 
     /// Parts of the prompt of a request that other prompts may share.
-    pub(crate) fn shared_parts(&self, service: &ModelId, headers: &HeaderMap) -> Arc<[PromptPart]> {
+    pub(crate) fn shared_parts(&self, service: &ModelId, headers: &HeaderMap) -> Vec<Feature> {
         let ids = self.adapters.header_format.shared_parts(headers);
-        ids.iter().map(|id| PromptPart::new(service, id)).collect()
+        ids.iter().map(|id| Feature::part(service, id)).collect()
     }
 
-    /// Decides whether a request with these parts may be placed.
+    /// Decides whether a request with these features may be placed.
     ///
     /// # Errors
     ///
-    /// [`Refusal`] if a part is quarantined; the request must not be sent.
-    pub(crate) fn check_parts(&self, request: &str, parts: &[PromptPart]) -> Result<(), Refusal> {
-        self.decide(request, parts, Quarantine::check)
+    /// [`Refusal`] if a feature is quarantined; the request must not be sent.
+    pub(crate) fn check_features(&self, request: &str, features: &[Feature]) -> Result<(), Refusal> {
+        self.decide(request, features, Quarantine::check)
     }
 
-    /// Decides the same right before the request is sent; it may be the trial of a quarantined part.
+    /// Decides the same right before the request is sent; it may be the trial of a quarantined feature.
     ///
     /// # Errors
     ///
-    /// As for [`Self::check_parts`].
-    pub(crate) fn admit_parts(&self, request: &str, parts: &[PromptPart]) -> Result<(), Refusal> {
-        self.decide(request, parts, Quarantine::admit)
+    /// As for [`Self::check_features`].
+    pub(crate) fn admit_features(&self, request: &str, features: &[Feature]) -> Result<(), Refusal> {
+        self.decide(request, features, Quarantine::admit)
     }
 
     fn decide(
         &self,
         request: &str,
-        parts: &[PromptPart],
-        decide: fn(&mut Quarantine, Time, &[PromptPart]) -> Result<(), Verdict>,
+        features: &[Feature],
+        decide: fn(&mut Quarantine, Time, &[Feature]) -> Result<(), Verdict>,
     ) -> Result<(), Refusal> {
-        if parts.is_empty() {
-            return Ok(());
-        }
         let mut quarantine = self.lock_quarantine();
-        let decided = decide(&mut quarantine, self.clock.now(), parts);
+        let decided = decide(&mut quarantine, self.clock.now(), features);
         log_changes(&mut quarantine);
         decided.map_err(|verdict| refusal(request, verdict))
     }
 
-    /// Records that an engine answered a prompt with these parts beyond the beginning.
-    pub(crate) fn record_progress(&self, parts: &[PromptPart]) {
-        if !parts.is_empty() {
-            self.lock_quarantine().record_progress(self.clock.now(), parts);
-        }
+    /// Records that an endpoint answered a request with these features beyond the beginning.
+    pub(crate) fn record_progress(&self, features: &[Feature]) {
+        self.lock_quarantine().record_progress(self.clock.now(), features);
     }
 
-    /// Records a crash of the engine under a request if the engine has ended.
+    /// Records a crash of the endpoint under a request if the endpoint has ended.
     pub(crate) fn record_broken(self: &Arc<Self>, broken: BrokenRequest) {
         let shared = self.clone();
         tokio::spawn(async move {
-            let BrokenRequest { id, parts, digest, customer, engine, address, evidence } = broken;
+            let BrokenRequest { id, features, customer, endpoint, address, evidence } = broken;
             let report = timeout(PROBE_TIMEOUT, shared.adapters.engines.report(address)).await;
             // One that is silent or overloaded may still run.
             let ended = matches!(report, Ok(Err(ExternalError { failure: Failure::NoAnswer(_), .. })));
             info!(
-                request = id, endpoint:% = engine, ended, evidence:%, digest:%, customer:?, parts:? = parts;
+                request = id, endpoint:%, ended, evidence:%, customer:?, features = join(&*features);
                 "connection broken before the answer had progressed"
             );
-            if ended && !parts.is_empty() {
-                shared.report_failure(engine).await;
-                shared.lock_quarantine().record_crash(shared.clock.now(), engine, &parts, evidence);
+            if ended {
+                shared.report_failure(endpoint).await;
+                shared.lock_quarantine().record_crash(shared.clock.now(), endpoint, &features, evidence);
             }
         });
     }
 
     /// What the peers have to know of crashes; all that is quarantined if `complete`.
-    pub(crate) fn quarantine_reports(&self, complete: bool) -> Vec<PartReport> {
+    pub(crate) fn quarantine_reports(&self, complete: bool) -> Vec<FeatureReport> {
         self.lock_quarantine().reports(self.clock.now(), complete)
     }
 
     /// Applies the reports of a peer.
-    pub(crate) fn apply_quarantine(&self, reports: &[PartReport]) {
+    pub(crate) fn apply_quarantine(&self, reports: &[FeatureReport]) {
         if !reports.is_empty() {
             self.lock_quarantine().apply(self.clock.now(), reports);
         }
@@ -127,35 +120,43 @@
         log_changes(&mut quarantine);
     }
 
-    /// Suspected and quarantined parts as text.
+    /// Suspected and quarantined features as text.
     pub(crate) fn dump_quarantine(&self) -> String {
         self.lock_quarantine().to_string()
     }
 }
 
 fn refusal(request: &str, verdict: Verdict) -> Refusal {
-    info!(request, part:% = verdict.part, engines = verdict.crashes; "prompt contains a quarantined part");
-    Refusal { cause: Cause::Quarantined, retry: verdict.retry }
+    info!(request, part:% = verdict.feature, engines = verdict.crashes; "request is quarantined");
+    let cause = match verdict.feature {
+        Feature::Part(_) => Cause::Quarantined,
+        Feature::Request(_) => Cause::CrashingRequest,
+    };
+    Refusal { cause, retry: verdict.retry }
+}
+
+fn join<'a, T: ToString + 'a>(items: impl IntoIterator<Item = &'a T>) -> String {
+    items.into_iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
 }
 
 fn log_changes(quarantine: &mut Quarantine) {
     for change in quarantine.take_changes() {
         let kind = match change {
-            Change::Convicted { part, crashes, answered } => {
-                let engines = crashes.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
-                warn!(part:%, engines, answered:?; "engines ended under a prompt part; prompts with it are refused");
+            Change::Convicted { feature, crashes, answered } => {
+                let engines = join(&crashes);
+                warn!(part:% = feature, engines, answered:?; "endpoints ended under requests; those alike are refused");
                 "convicted"
             }
-            Change::Acquitted { part } => {
-                warn!(part:%; "verdict on a prompt part lifted; prompts with it are accepted again");
+            Change::Acquitted { feature } => {
+                warn!(part:% = feature; "verdict on requests lifted; they are accepted again");
                 "acquitted"
             }
-            Change::Expired { part } => {
-                info!(part:%; "quarantine of a prompt part has expired");
+            Change::Expired { feature } => {
+                info!(part:% = feature; "quarantine has expired");
                 "expired"
             }
-            Change::Trial { part, number } => {
-                info!(part:%, number; "a request with a quarantined prompt part is tried");
+            Change::Trial { feature, number } => {
+                info!(part:% = feature, number; "a quarantined request is tried");
                 "trial"
             }
         };
--- a/chestnutstage_gateway/src/response.rs
+++ b/chestnutstage_gateway/src/response.rs
@@ -42,6 +42,9 @@
     /// Its prompt contains a part that ends engines; it did not run.
     #[display("prompt_quarantined")]
     Quarantined,
+    /// Endpoints ended under its repeats; it did not run.
+    #[display("request_quarantined")]
+    CrashingRequest,
     /// It was sent to an endpoint and may have run.
     #[display("outcome_unknown")]
     OutcomeUnknown,
@@ -53,7 +56,7 @@
 impl Reason {
     const fn status(self) -> StatusCode {
         match self {
-            Self::ConfigurationUnknown | Self::Overloaded | Self::Quarantined => {
+            Self::ConfigurationUnknown | Self::Overloaded | Self::Quarantined | Self::CrashingRequest => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -241,7 +241,7 @@
         let before = self.upstream_events;
         self.upstream_events += self.exchange.relay.event_count() - forwarded_before;
         if before < PROGRESS_EVENTS && self.upstream_events >= PROGRESS_EVENTS {
-            self.exchange.shared.record_progress(&self.exchange.shared_parts);
+            self.exchange.shared.record_progress(&self.exchange.features);
         }
         let now = Instant::now();
         if self.started {
@@ -398,7 +398,7 @@
             if self.ends_with_connection() {
                 self.record_broken();
             } else {
-                self.exchange.shared.record_progress(&self.exchange.shared_parts);
+                self.exchange.shared.record_progress(&self.exchange.features);
             }
         }
         let Some(upstream) = self.upstream.take() else { return };
--- a/chestnutstage_gateway/tests/crashing_requests.rs
+++ b/chestnutstage_gateway/tests/crashing_requests.rs
@@ -63,10 +63,16 @@
         self.backends.iter().flat_map(|b| b.requests()).filter(|r| r.contains(CRASH)).count()
     }
 
-    /// Sends the request to one instance after the other until three endpoints have ended under it.
+    /// Number of endpoints that have ended.
+    fn ended(&self) -> usize {
+        self.backends.iter().filter(|b| b.requests().iter().any(|r| r.contains(CRASH))).count()
+    }
+
+    /// Sends the request to one instance after the other until three endpoints have ended under it. They can't be restarted here, so
+    /// that one that has ended may get it again.
     async fn end_three(&self, request: impl Fn(&Harness) -> RequestBuilder) {
         let mut number = 0;
-        while self.reached() < 3 {
+        while self.ended() < 3 {
             request(&self.instances[number % 2]).header(CRASH, "1").send().await.unwrap();
             number += 1;
         }
