Tests of requests that end endpoints

Gateway: other requests, a popular one, a wrong verdict taken back, one counted trial, calls that run only once, ends inside the response, endpoints that refuse load reports or leave them unanswered, and a prompt placed before the verdict.

--- a/chestnutstage_gateway/tests/common/external.rs
+++ b/chestnutstage_gateway/tests/common/external.rs
@@ -254,14 +254,29 @@
     pub held: AtomicBool,
     /// Number of reservations asked for.
     pub asked: AtomicU64,
-    /// Engines that return no load report.
+    /// Engines that can't be connected to.
     pub unresponsive: Mutex<Vec<SocketAddr>>,
+    /// Whether load reports are refused.
+    pub overloaded: AtomicBool,
+    /// Whether load reports are not answered.
+    pub silent: AtomicBool,
     pub released: Notify,
 }
 
 impl Engines for FakeEngines {
     fn report(&self, address: SocketAddr) -> BoxFuture<'_, Result<LoadReport, ExternalError>> {
         async move {
+            if self.silent.load(Ordering::SeqCst) {
+                std::future::pending::<()>().await;
+            }
+            if self.overloaded.load(Ordering::SeqCst) {
+                let failure = Failure::Refused(503);
+                return Err(ExternalError {
+                    operation: Operation::Report,
+                    peer: address.to_string(),
+                    failure,
+                });
+            }
             if self.unresponsive.lock().unwrap().contains(&address) {
                 let failure = Failure::NoAnswer("unresponsive".into());
                 return Err(ExternalError {
