A response without a limit costs no message while no endpoint names one

Each response was reported to the dispatcher, to lift a limit if there was one. A flag tells now whether any limit is known. No decision changes; endpoint_limits (6) and crashing_requests (11) pass.

--- a/chestnutstage_gateway/src/dispatcher.rs
+++ b/chestnutstage_gateway/src/dispatcher.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use chestnutstage_core::catalog::Directory;
@@ -28,12 +29,23 @@
     clock: Clock,
     bounds: Bounds,
     granted: Arc<Notify>,
+    /// Whether any endpoint limits its requests.
+    limits_known: Arc<AtomicBool>,
 }
 
 impl Dispatcher {
     /// Creates the dispatcher of an instance in `zone`; `granted` is notified of each new grant.
     pub(crate) fn new(zone: ZoneId, clock: Clock, bounds: Bounds, granted: Arc<Notify>) -> Self {
-        Self { pool: Pool::new(zone, rand::random()), clock, bounds, granted }
+        Self { pool: Pool::new(zone, rand::random()), clock, bounds, granted, limits_known: Arc::default() }
+    }
+
+    /// Flag that tells without a message whether any endpoint limits its requests.
+    pub(crate) fn limits_known(&self) -> Arc<AtomicBool> {
+        self.limits_known.clone()
+    }
+
+    fn update_limits_known(&self) {
+        self.limits_known.store(self.pool.limited().next().is_some(), Ordering::Relaxed);
     }
 }
 
@@ -191,6 +203,7 @@
     async fn handle(&mut self, msg: RecordLimit, _: &mut Context<Self, Self::Reply>) -> bool {
         let changed = self.pool.record_limit(self.clock.now(), msg.key, msg.rate, msg.sent);
         if changed {
+            self.update_limits_known();
             self.granted.notify_one();
         }
         changed
@@ -340,6 +353,7 @@
             GrantUpdate::Snapshot(snapshot) => self.pool.apply_snapshot(now, msg.peer, msg.sent, snapshot),
             GrantUpdate::Changes(changes) => self.pool.apply_changes(now, msg.peer, msg.sent, changes),
         }
+        self.update_limits_known();
     }
 }
 
@@ -386,6 +400,7 @@
         self.pool.set_pace(now, msg.0, msg.1.pace);
         if msg.1.limit.is_some() {
             self.pool.record_limit(now, msg.0, msg.1.limit, now);
+            self.update_limits_known();
         }
         if msg.1.leaving {
             self.pool.withdraw(now, msg.0, None);
--- a/chestnutstage_gateway/src/endpoint_signals.rs
+++ b/chestnutstage_gateway/src/endpoint_signals.rs
@@ -3,6 +3,7 @@
 //! An endpoint may leave, want no requests for a time, or name a limit of the requests that it takes from all instances
 //! together.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chestnutstage_core::pool::Key;
@@ -41,6 +42,9 @@
     pub(crate) async fn record_limit(&self, request: &str, key: Key, head: &response::Parts, sent: Time) {
         let format = &self.adapters.header_format;
         let rate = format.request_limit(&head.headers);
+        if rate.is_none() && !self.limits_known.load(Ordering::Relaxed) {
+            return;
+        }
         let echo = header_text(&head.headers, &format.names().attempt);
         // A response without a limit says something only if it is certain whose response it is.
         if echo.map_or(rate.is_none(), |id| id != request) {
--- a/chestnutstage_gateway/src/gateway.rs
+++ b/chestnutstage_gateway/src/gateway.rs
@@ -122,6 +122,7 @@
         let granted = Arc::new(Notify::new());
         let dispatcher =
             Dispatcher::new(settings.instance.zone.clone(), clock, settings.bounds.clone(), granted.clone());
+        let limits_known = dispatcher.limits_known();
         let dispatcher = Dispatcher::spawn_with_mailbox(dispatcher, mailbox::unbounded());
         let incarnation = format!("{}-{:08x}", settings.instance.name, rand::random::<u32>());
         info!(callers:% = settings.listen.callers, zone:% = settings.instance.zone; "instance starting");
@@ -133,6 +134,7 @@
             adapters,
             store_cache: Arc::new(StoreCache::new(clock, dispatcher.clone(), name.clone())),
             dispatcher,
+            limits_known,
             channels: Channels::default(),
             peers: OnceLock::new(),
             budget: Mutex::new(budget),
--- a/chestnutstage_gateway/src/shared.rs
+++ b/chestnutstage_gateway/src/shared.rs
@@ -38,6 +38,8 @@
     pub(crate) adapters: Adapters,
     pub(crate) store_cache: Arc<StoreCache>,
     pub(crate) dispatcher: ActorRef<Dispatcher>,
+    /// Whether any endpoint limits its requests.
+    pub(crate) limits_known: Arc<AtomicBool>,
     pub(crate) channels: Channels,
     /// Links to the other instances, once they can be opened.
     pub(crate) peers: OnceLock<Weak<Peers>>,
