--- a/chestnutstage_core/tests/quarantine_requests.rs
+++ b/chestnutstage_core/tests/quarantine_requests.rs
@@ -1,12 +1,14 @@
 //! Quarantine of whole requests that end endpoints.
 
 mod common;
+#[path = "common/fleet.rs"]
+mod fleet;
 
 use std::time::Duration;
 
-use chestnutstage_core::pool::{Key, Listing};
 use chestnutstage_core::quarantine::{Change, Evidence, Feature, Quarantine, SUSPECTS_MAX};
 use common::at;
+use fleet::{endpoint, exchange, fleet};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -16,38 +18,6 @@
 const COUNTED_AFTER: u64 = 3_000;
 const COUNTED_MAX: usize = 3;
 
-fn endpoint(number: u64) -> Key {
-    let listing = Listing {
-        id: "d".into(),
-        address: ([127, 0, 0, 1], 1_000).into(),
-        zone: "a".into(),
-        service: "desk".into(),
-        slots: 6,
-        leaving: false,
-        born: number,
-        cold: 0,
-    };
-    listing.key()
-}
-
-fn fleet(count: usize) -> Vec<Quarantine> {
-    let ids: Vec<_> = (0..count).map(|i| format!("i{i}").as_str().into()).collect();
-    let mut fleet: Vec<_> = ids.iter().cloned().map(Quarantine::new).collect();
-    for quarantine in &mut fleet {
-        quarantine.set_members(ids.clone());
-    }
-    fleet
-}
-
-fn exchange(now: u64, fleet: &mut [Quarantine]) {
-    let sent: Vec<_> = fleet.iter_mut().map(|q| q.reports(at(now), true)).collect();
-    for (i, receiver) in fleet.iter_mut().enumerate() {
-        for (_, reports) in sent.iter().enumerate().filter(|(j, _)| *j != i) {
-            receiver.apply(at(now + 20), reports);
-        }
-    }
-}
-
 #[test]
 fn third_end_convicts() {
     let mut quarantine = Quarantine::new("i0".into());
