--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -15,6 +15,7 @@
 
 mod late_removal;
 mod lost_machines;
+mod removed_after_cut;
 mod short_outage;
 
 use std::process::exit;
@@ -34,6 +35,7 @@
     };
     let run: fn(&Arc<Case>) -> Outcome = match scenario.as_str() {
         "lost-machines" => lost_machines::run,
+        "removed-after-cut" => removed_after_cut::run,
         "short-outage" => short_outage::run,
         "late-removal" => late_removal::run,
         other => {
