--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -14,9 +14,11 @@
 mod worker;
 
 mod late_removal;
+mod link;
 mod lost_machines;
 mod removed_after_cut;
 mod short_outage;
+mod stale_planner;
 
 use std::process::exit;
 use std::sync::Arc;
@@ -36,6 +38,7 @@
     let run: fn(&Arc<Case>) -> Outcome = match scenario.as_str() {
         "lost-machines" => lost_machines::run,
         "removed-after-cut" => removed_after_cut::run,
+        "stale-planner" => stale_planner::run,
         "short-outage" => short_outage::run,
         "late-removal" => late_removal::run,
         other => {
--- a/review/standins/removed_after_cut.rs
+++ b/review/standins/removed_after_cut.rs
@@ -1,12 +1,10 @@
 //! One instance is cut off from the store for some seconds. After it is back, two workers leave shortly one after the other.
 
-use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use crate::case::{Case, Outcome};
+use crate::link::Link;
 use crate::process::{Instance, free_ports, machine, wait_ready};
 use crate::store::Store;
 use crate::worker::{Worker, desired_state, request};
@@ -30,54 +28,6 @@
     play(case).unwrap_or_else(|e| Outcome::NotRun(e.to_string()))
 }
 
-/// Link to the store that can be cut: nothing passes then, and channels hang.
-struct Link {
-    cut: AtomicBool,
-    address: SocketAddr,
-}
-
-impl Link {
-    fn start(target: SocketAddr) -> std::io::Result<Arc<Self>> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let link = Arc::new(Self { cut: AtomicBool::new(false), address: listener.local_addr()? });
-        let accepting = link.clone();
-        std::thread::spawn(move || {
-            for near in listener.incoming().flatten() {
-                let link = accepting.clone();
-                std::thread::spawn(move || {
-                    link.wait();
-                    let Ok(far) = TcpStream::connect(target) else { return };
-                    let (Ok(near2), Ok(far2)) = (near.try_clone(), far.try_clone()) else { return };
-                    let back = link.clone();
-                    std::thread::spawn(move || back.copy(far2, near2));
-                    link.copy(near, far);
-                });
-            }
-        });
-        Ok(link)
-    }
-
-    fn wait(&self) {
-        while self.cut.load(Ordering::Relaxed) {
-            std::thread::sleep(Duration::from_millis(2));
-        }
-    }
-
-    fn copy(&self, mut from: TcpStream, mut to: TcpStream) {
-        _ = to.set_nodelay(true);
-        let mut buffer = [0; 16 << 10];
-        while let Ok(count @ 1..) = from.read(&mut buffer) {
-            self.wait();
-            if to.write_all(&buffer[..count]).is_err() {
-                break;
-            }
-        }
-        self.wait();
-        _ = to.shutdown(Shutdown::Both);
-        _ = from.shutdown(Shutdown::Both);
-    }
-}
-
 fn play(case: &Arc<Case>) -> std::io::Result<Outcome> {
     let store = Store::start(case)?;
     store.put("op", "config", Some(&desired_state(1, &["/base/"])));
@@ -108,11 +58,11 @@
     let mut broken = 0;
     for round in 0..ROUNDS {
         if case.trouble {
-            link.cut.store(true, Ordering::Relaxed);
+            link.set_cut(true);
             case.log(&format!("{name} is cut off from the store"));
         }
         std::thread::sleep(CUT);
-        link.cut.store(false, Ordering::Relaxed);
+        link.set_cut(false);
         let healed = case.now();
         case.log(&format!("{name} reaches the store again"));
         let load = {
