--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -28,6 +28,7 @@
 use crate::dispatcher::{IsOpen, Place};
 use crate::exchange::Exchange;
 use crate::failover::{PendingSend, Sent};
+use crate::fault::Fault;
 use crate::headers::header_text;
 use crate::liveness::LivenessProbe;
 use crate::placer::{GrantGuard, Placed};
@@ -94,7 +95,7 @@
         let mut channel = match connected {
             Ok(channel) => channel,
             Err(e) => {
-                self.shared.report_failure(placement.key).await;
+                self.shared.report_failure(placement.key, Fault::Connect).await;
                 return Err(Attempt::NotRun(format!("failed to connect to {}: {e}", placement.listing.id)));
             }
         };
@@ -146,7 +147,7 @@
             }
             Err(SendFailure::Unknown(cause)) => {
                 self.record_broken(placement.key, placement.listing.address, Evidence::Waiting);
-                self.shared.report_failure(placement.key).await;
+                self.shared.report_failure(placement.key, Fault::Broken).await;
                 return Attempt::Unknown(format!("{id}: {cause}"));
             }
         };
@@ -264,7 +265,7 @@
         let id_matches = echo == Some(self.id.as_str());
         let not_run = head.headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
         if echo.is_some() && !id_matches {
-            self.shared.report_failure(upstream.key).await;
+            self.shared.report_failure(upstream.key, Fault::Response).await;
             return Attempt::Unknown(format!("{} sent the response to another request", upstream.address));
         }
         if not_run && status != StatusCode::BAD_REQUEST {
@@ -277,7 +278,7 @@
             return Attempt::NotRun(format!("{} refused the request with status {status}", upstream.address));
         }
         if status.is_success() && !(id_matches && head.headers.contains_key(&names.seal)) {
-            self.shared.report_failure(upstream.key).await;
+            self.shared.report_failure(upstream.key, Fault::Response).await;
             return Attempt::Unknown(format!(
                 "{} sent a success response without its seal",
                 upstream.address
@@ -294,7 +295,7 @@
                 let known = self.shared.report_failure_at(address).await;
                 info!(endpoint:% = address, known; "a helper prevented the request from running");
             }
-            None => self.shared.report_failure(key).await,
+            None => self.shared.report_failure(key, Fault::Refusal).await,
         }
     }
 }
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -27,6 +27,7 @@
 use crate::admission::{Rejection, drain_body, find_customer, find_route, read_body};
 use crate::attempt::{Attempt, Upstream};
 use crate::external::Prompt;
+use crate::fault::Fault;
 use crate::headers::{header_text, remove_hop_by_hop};
 use crate::quarantine::BrokenRequest;
 use crate::request_digest::digest;
@@ -361,7 +362,7 @@
     async fn repeat_or_fail(mut self, upstream: Box<Upstream>, cause: &str) -> Forwarded {
         warn!(request = self.id; "failed to read the response: {cause}");
         self.record_broken(upstream.key, upstream.address, Evidence::Started);
-        self.shared.report_failure(upstream.key).await;
+        self.shared.report_failure(upstream.key, Fault::Broken).await;
         drop(upstream);
         if self.may_repeat() { Forwarded::Repeat(Box::new(self)) } else { Forwarded::Response(self.fail()) }
     }
--- a/chestnutstage_gateway/src/failover.rs
+++ b/chestnutstage_gateway/src/failover.rs
@@ -19,6 +19,7 @@
 use crate::attempt::{Attempt, STALL_TIMEOUT_MIN};
 use crate::channel::{Channel, SendFailure};
 use crate::exchange::Exchange;
+use crate::fault::Fault;
 use crate::liveness::{LivenessProbe, Reachability};
 use crate::placer::GrantGuard;
 use crate::reservations::Reservations;
@@ -137,7 +138,7 @@
             return Race::None;
         }
         if !std::mem::replace(&mut pending.reported, true) {
-            self.shared.report_failure(pending.placement.key).await;
+            self.shared.report_failure(pending.placement.key, Fault::Silence).await;
         }
         info!(
             request = self.id, endpoint:% = pending.placement.listing.id;
@@ -207,7 +208,7 @@
     /// Ends the wait for an endpoint that may have run the request.
     async fn give_up(&self, pending: PendingSend, cause: &str) -> Attempt {
         if !pending.reported {
-            self.shared.report_failure(pending.placement.key).await;
+            self.shared.report_failure(pending.placement.key, Fault::Silence).await;
         }
         Attempt::Unknown(format!("{} {cause}", pending.placement.listing.id))
     }
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod exchange;
 pub mod external;
 mod failover;
+mod fault;
 mod gateway;
 mod headers;
 mod identity;
--- a/chestnutstage_gateway/src/placer.rs
+++ b/chestnutstage_gateway/src/placer.rs
@@ -21,6 +21,7 @@
 use crate::dispatcher::{
     Adopt, Ended, Failed, FindEndpoint, FirstEvent, Granted, IsUnresponsive, ListLimited, Place, Withdraw,
 };
+use crate::fault::Fault;
 use crate::peers::Peers;
 use crate::response::DEFAULT_RETRY_DELAY;
 use crate::shared::Shared;
@@ -175,10 +176,11 @@
     }
 
     /// Reports a failure of an endpoint here and, unless this instance is one, to a planner.
-    pub(crate) async fn report_failure(&self, key: Key) {
+    pub(crate) async fn report_failure(&self, key: Key, fault: Fault) {
+        counter!("chestnutstage_endpoint_faults_total", "fault" => fault.to_string()).increment(1);
         match self.dispatcher.ask(Failed(key)).await {
             Ok(pause) => {
-                info!(endpoint:% = key, pause_ms = pause; "endpoint failed; no new requests during its backoff");
+                info!(endpoint:% = key, fault:%, pause_ms = pause; "endpoint failed; no new requests during its backoff");
             }
             Err(e) => warn!("dispatcher can't record the failure of endpoint {key}: {e}"),
         }
@@ -201,7 +203,7 @@
     /// Reports a failure of the endpoint at an address; returns whether there is one.
     pub(crate) async fn report_failure_at(&self, address: std::net::SocketAddr) -> bool {
         let Ok(Some(key)) = self.dispatcher.ask(FindEndpoint(address)).await else { return false };
-        self.report_failure(key).await;
+        self.report_failure(key, Fault::Refusal).await;
         true
     }
 
--- a/chestnutstage_gateway/src/quarantine.rs
+++ b/chestnutstage_gateway/src/quarantine.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::external::{ExternalError, Failure};
+use crate::fault::Fault;
 use crate::liveness::PROBE_TIMEOUT;
 use crate::shared::Shared;
 
@@ -88,7 +89,7 @@
                 "connection broken before the answer had progressed"
             );
             if ended {
-                shared.report_failure(endpoint).await;
+                shared.report_failure(endpoint, Fault::Broken).await;
                 shared.lock_quarantine().record_crash(shared.clock.now(), endpoint, &features, evidence);
             }
         });
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -23,6 +23,7 @@
 use crate::attempt::{Attempt, STALL_TIMEOUT_MIN, Upstream, next_data};
 use crate::exchange::Exchange;
 use crate::failover::FAILOVERS_MAX;
+use crate::fault::Fault;
 use crate::headers::remove_gateway_headers;
 use crate::liveness::Reachability;
 use crate::response::BoxResponse;
@@ -301,7 +302,7 @@
         }
         let upstream = self.upstream.as_mut()?;
         if suspect && !std::mem::replace(&mut self.reported, true) {
-            self.exchange.shared.report_failure(upstream.key).await;
+            self.exchange.shared.report_failure(upstream.key, Fault::Silence).await;
         }
         let sends = self.exchange.sends;
         let (first, takeover) = {
@@ -377,7 +378,7 @@
     /// Resumes a broken stream at another endpoint; returns whether that was possible.
     async fn resume(&mut self, cause: &str) -> bool {
         let Some(broken) = self.upstream.take() else { return false };
-        self.exchange.shared.report_failure(broken.key).await;
+        self.exchange.shared.report_failure(broken.key, Fault::Broken).await;
         drop(broken);
         while self.exchange.route.repeat == Repeat::Resumable && self.exchange.may_repeat() {
             match self.exchange.attempt().await {
