--- a/chestnutstage_gateway/tests/common/external.rs
+++ b/chestnutstage_gateway/tests/common/external.rs
@@ -17,6 +17,9 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+/// Result of an operation on a test double.
+pub type ExternalResult<T> = Result<T, ExternalError>;
+
 /// In-memory store: facts with increasing revisions.
 #[derive(Debug, Default)]
 pub struct FakeStore {
--- a/chestnutstage_gateway/tests/common/mod.rs
+++ b/chestnutstage_gateway/tests/common/mod.rs
@@ -6,6 +6,7 @@
 #[path = "../../../chestnutstage_core/tests/common/costs.rs"]
 mod costs;
 pub mod external;
+pub mod path;
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -17,7 +18,7 @@
 };
 use chestnutstage_core::ids::InstanceId;
 use chestnutstage_core::pool::Listing;
-use chestnutstage_gateway::external::{Fact, Topic};
+use chestnutstage_gateway::external::{Fact, Registry, Topic};
 use chestnutstage_gateway::settings::{Bounds, InstanceSettings, Listen, Settings, Store};
 use chestnutstage_gateway::{Adapters, Gateway};
 use reqwest::{Client, Method, RequestBuilder, StatusCode};
@@ -129,13 +130,19 @@
     }
 
     pub async fn with_settings(settings: Settings, store: Arc<FakeStore>) -> Self {
+        Self::with_registry(settings, store.clone(), store).await
+    }
+
+    /// Starts a gateway that sees the store through `registry`.
+    pub async fn with_registry(
+        settings: Settings,
+        store: Arc<FakeStore>,
+        registry: Arc<dyn Registry>,
+    ) -> Self {
         let name = settings.instance.name.clone();
         let engines = Arc::new(FakeEngines::default());
-        let adapters = Adapters {
-            registry: store.clone(),
-            header_format: Arc::new(TestHeaderFormat::new()),
-            engines: engines.clone(),
-        };
+        let adapters =
+            Adapters { registry, header_format: Arc::new(TestHeaderFormat::new()), engines: engines.clone() };
         let gateway = Gateway::start(settings, adapters).await.unwrap();
         let http = Client::builder().no_proxy().http1_only().build().unwrap();
         Self { name, gateway, store, engines, http }
--- /dev/null
+++ b/chestnutstage_gateway/tests/lost_paths.rs
@@ -0,0 +1,152 @@
+//! Instances that have lost their paths to endpoints, while callers, the store and peers reach them.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use chestnutstage_gateway::external::{Fact, Topic};
+use common::backend::{Backend, END, Reply, stream, success};
+use common::external::FakeStore;
+use common::path::{Path, PathState, StoreView};
+use common::{Harness, catalog, listing, settings};
+use reqwest::{Method, StatusCode};
+use tokio::time::{sleep, timeout};
+
+/// Requests of each kind that are sent to the instance without paths.
+const REQUESTS: usize = 10;
+/// Time limit of the calls of plain services.
+const DEADLINE_MS: u64 = 600;
+
+/// Two linked instances; the second one reaches each endpoint over a path that can be cut.
+struct Fleet {
+    sound: Harness,
+    cut: Harness,
+    desks: Vec<Arc<Backend>>,
+    engines: Vec<Arc<Backend>>,
+    paths: Vec<Path>,
+}
+
+impl Fleet {
+    /// Starts the instances with two endpoints each of the plain service and of the engines' service.
+    async fn start(desk: &Reply, engine: &Reply) -> Self {
+        let (mut desks, mut engines, mut paths) = (Vec::new(), Vec::new(), Vec::new());
+        let mut listed = Vec::new();
+        for number in 0..2 {
+            desks.push(Backend::start(vec![desk.clone()]).await);
+            engines.push(Backend::start(vec![engine.clone()]).await);
+            listed.push(Fact::Listed(listing(&format!("d{number}"), "desk", desks[number].address)));
+            listed.push(Fact::Listed(listing(&format!("e{number}"), "llm", engines[number].address)));
+        }
+        let addresses: Vec<_> = desks.iter().chain(&engines).map(|backend| backend.address).collect();
+        paths.extend(addresses.iter().map(|address| Path::open(*address)));
+        let store = Arc::new(FakeStore::default());
+        store.publish(Topic::Operators, vec![Fact::Catalog(Box::new(catalog(1)))]);
+        store.publish(Topic::Endpoints, listed);
+        let view = StoreView::new(store.clone(), &addresses.into_iter().zip(&paths).collect::<Vec<_>>());
+        let sound = Harness::with_store("i1", store.clone()).await;
+        let cut = Harness::with_registry(settings("i2"), store, view).await;
+        let fleet = Self { sound, cut, desks, engines, paths };
+        fleet.sound.until_ready().await;
+        fleet.cut.until_ready().await;
+        while !(is_linked(&fleet.sound).await && is_linked(&fleet.cut).await) {
+            sleep(Duration::from_millis(10)).await;
+        }
+        fleet
+    }
+
+    async fn cut_paths(&self, state: PathState) {
+        let engines = self.paths.iter().map(|path| path.address).filter(|_| state != PathState::Open);
+        *self.cut.engines.unresponsive.lock().unwrap() = engines.collect();
+        for path in &self.paths {
+            path.set(state).await;
+        }
+    }
+
+    /// Number of requests that reached the endpoints.
+    fn arrived(&self) -> usize {
+        self.desks.iter().chain(&self.engines).map(|backend| backend.requests().len()).sum()
+    }
+
+    /// Statuses of calls of a plain service at the instance without paths.
+    async fn call(&self, method: Method, path: &str) -> Vec<Option<StatusCode>> {
+        let mut statuses = Vec::new();
+        for _ in 0..REQUESTS {
+            let request = self.cut.request(method.clone(), path).header("x-remaining", DEADLINE_MS);
+            let response = timeout(Duration::from_millis(DEADLINE_MS), request.send()).await;
+            statuses.push(response.ok().map(|response| response.unwrap().status()));
+        }
+        statuses
+    }
+
+    /// Texts of streams at the instance without paths; `None` where one broke or did not end in time.
+    async fn stream(&self) -> Vec<Option<String>> {
+        let mut texts = Vec::new();
+        for _ in 0..REQUESTS {
+            let request = self.cut.request(Method::POST, "/chat/x").header("x-tokens", "100");
+            let text = async { request.send().await.ok()?.text().await.ok() };
+            texts.push(timeout(Duration::from_secs(1), text).await.ok().flatten());
+        }
+        texts
+    }
+}
+
+async fn state(harness: &Harness) -> String {
+    let url = format!("http://{}/state", harness.gateway.listen_addresses().checks);
+    harness.http.get(url).send().await.unwrap().text().await.unwrap()
+}
+
+/// Whether an instance knows another one as linked: the pool holds a peer.
+async fn is_linked(harness: &Harness) -> bool {
+    !state(harness).await.contains("peers: {},")
+}
+
+fn whole_stream() -> Reply {
+    Reply::Bytes(stream(1..=3) + END)
+}
+
+async fn serve_without_paths(lost: PathState) {
+    let fleet = Fleet::start(&success("done"), &whole_stream()).await;
+    fleet.cut_paths(lost).await;
+    let before = fleet.arrived();
+    for (method, path) in [(Method::GET, "/look/x"), (Method::POST, "/book/x")] {
+        let statuses = fleet.call(method, path).await;
+        assert_eq!(statuses, [Some(StatusCode::OK); REQUESTS], "{path}");
+    }
+    let expected: String = (1..=3).map(common::backend::event).collect();
+    assert_eq!(fleet.stream().await, vec![Some(expected); REQUESTS]);
+    assert_eq!(fleet.arrived() - before, 3 * REQUESTS, "each request ran once");
+}
+
+#[tokio::test]
+async fn refused_paths() {
+    serve_without_paths(PathState::Refused).await;
+}
+
+#[tokio::test]
+async fn hung_paths() {
+    serve_without_paths(PathState::Hung).await;
+}
+
+/// Number of endpoints that are or were in backoff at an instance.
+async fn backoffs(harness: &Harness) -> usize {
+    let state = state(harness).await;
+    let lines: Vec<_> = state.lines().map(str::trim).collect();
+    let times = lines.windows(2).filter(|pair| pair[0] == "paused_until: Time(");
+    let untouched = times.filter(|pair| pair[1] == "0ns,").count();
+    state.matches("paused_until").count() - untouched
+}
+
+/// Failures that are the path's own must not keep other instances from endpoints that are sound for them.
+#[tokio::test]
+async fn peers_undisturbed() {
+    let fleet = Fleet::start(&success("done"), &whole_stream()).await;
+    assert_eq!(backoffs(&fleet.sound).await, 0);
+    fleet.cut_paths(PathState::Refused).await;
+    let until = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < until {
+        fleet.call(Method::GET, "/look/x").await;
+        assert_eq!(backoffs(&fleet.sound).await, 0, "no endpoint is in backoff at the sound instance");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
