Connections to endpoints go through a peer where the own path is lost

Cause: an instance had no way to an endpoint but its own connection, and could not tell a lost path from an endpoint that is down. It tried one endpoint after the other, 350 ms each (484 failed connections in 12 s), and told its peers that all of them had failed. Class: a local failure taken for that of the other side.

Change: a connection that fails directly, or takes over 100 ms, is asked for from up to three linked peers as well; the stream of the request carries its bytes, so that placement, budgets, at-most-once, deadlines and the order of events stay where the request was accepted. Calls of the engines' control API take the same way. Two endpoints not reached in a row mark the instance as cut off (Paths in the core); it tells its peers, asks them first, and probes paths with bare connections until one opens. A failure is booked on an endpoint, here, at peers and in the quarantine, only if this instance reaches another endpoint. An instance that no peer can help either refuses at once and is not ready.

Ruled out: shifting callers by readiness alone, which does nothing for requests on open connections and puts the whole work of a request, not only its bytes, on the instances that are left; a relay of whole requests, whose outcome, deadline and counts would have two keepers.

--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod order;
 pub mod outcome;
 pub mod owner;
+pub mod paths;
 pub mod pause;
 pub mod planners;
 pub mod pool;
--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -261,6 +261,17 @@
             .map(|(k, s)| (*k, &s.listing))
     }
 
+    /// Address of a listed endpoint.
+    pub fn address(&self, key: Key) -> Option<SocketAddr> {
+        self.sites.get(&key).map(|site| site.listing.address)
+    }
+
+    /// Endpoints that accept work, ordered by key.
+    pub fn open_addresses(&self, now: Time) -> impl Iterator<Item = (Key, SocketAddr)> {
+        let open = self.sites.iter().filter(move |(key, site)| self.accepts_work(now, **key, site));
+        open.map(|(key, site)| (*key, site.listing.address))
+    }
+
     /// Whether an endpoint is known from the list.
     pub fn is_listed(&self, key: Key) -> bool {
         self.sites.contains_key(&key)
--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -93,6 +93,9 @@
     /// Endpoints ended under repeats of the request.
     #[display("quarantined request")]
     CrashingRequest,
+    /// Neither this instance nor a peer reaches any endpoint.
+    #[display("no path")]
+    NoPath,
 }
 
 /// Refusal of a request that can't be placed.
--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use chestnutstage_core::catalog::Repeat;
 use chestnutstage_core::ids::InstanceId;
-use chestnutstage_core::pool::{Key, Placement, Refusal};
+use chestnutstage_core::pool::{Cause, Key, Placement, Refusal};
 use chestnutstage_core::quarantine::Evidence;
 use derive_more::Display;
 use futures::FutureExt;
@@ -85,17 +85,20 @@
     /// Places the request and starts to send it. From here on it counts as possibly run, also if the attempt is dropped.
     async fn begin_send(&mut self) -> Result<PendingSend, Attempt> {
         self.shared.check_features(&self.id, &self.features).map_err(Attempt::Refused)?;
+        if self.shared.has_no_path() {
+            return Err(Attempt::Refused(Refusal { cause: Cause::NoPath, retry: DEFAULT_RETRY_DELAY }));
+        }
         let started = self.shared.clock.now();
         let Placed { placement, grant, planner, permitted } = self.place().await.map_err(Attempt::Refused)?;
         self.log_placed(&placement, planner.as_ref());
         self.tried.push(placement.key);
         let reservations = self.reserve(&placement).await.map_err(Attempt::NotRun)?;
         let once = !self.route.repeat.is_repeatable();
-        let connected = self.shared.channels.get(placement.key, placement.listing.address, once).await;
+        let connected = self.shared.connect(placement.key, placement.listing.address, once).await;
         let mut channel = match connected {
             Ok(channel) => channel,
             Err(e) => {
-                self.shared.report_failure(placement.key, Fault::Connect).await;
+                self.shared.report_failure(placement.key, Fault::Connect);
                 return Err(Attempt::NotRun(format!("failed to connect to {}: {e}", placement.listing.id)));
             }
         };
@@ -147,7 +150,7 @@
             }
             Err(SendFailure::Unknown(cause)) => {
                 self.record_broken(placement.key, placement.listing.address, Evidence::Waiting);
-                self.shared.report_failure(placement.key, Fault::Broken).await;
+                self.shared.report_failure(placement.key, Fault::Broken);
                 return Attempt::Unknown(format!("{id}: {cause}"));
             }
         };
@@ -265,7 +268,7 @@
         let id_matches = echo == Some(self.id.as_str());
         let not_run = head.headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
         if echo.is_some() && !id_matches {
-            self.shared.report_failure(upstream.key, Fault::Response).await;
+            self.shared.record_failure(upstream.key, Fault::Response).await;
             return Attempt::Unknown(format!("{} sent the response to another request", upstream.address));
         }
         if not_run && status != StatusCode::BAD_REQUEST {
@@ -278,7 +281,7 @@
             return Attempt::NotRun(format!("{} refused the request with status {status}", upstream.address));
         }
         if status.is_success() && !(id_matches && head.headers.contains_key(&names.seal)) {
-            self.shared.report_failure(upstream.key, Fault::Response).await;
+            self.shared.record_failure(upstream.key, Fault::Response).await;
             return Attempt::Unknown(format!(
                 "{} sent a success response without its seal",
                 upstream.address
@@ -295,7 +298,7 @@
                 let known = self.shared.report_failure_at(address).await;
                 info!(endpoint:% = address, known; "a helper prevented the request from running");
             }
-            None => self.shared.report_failure(key, Fault::Refusal).await,
+            None => self.shared.record_failure(key, Fault::Refusal).await,
         }
     }
 }
--- a/chestnutstage_gateway/src/channel.rs
+++ b/chestnutstage_gateway/src/channel.rs
@@ -1,6 +1,6 @@
 //! Connections to endpoints.
 //!
-//! A connection carries one request at a time. It is reused only after a complete response that identified its request,
+//! A connection is direct or, where the path to the endpoint is lost, relayed by a peer. It carries one request at a time. It is reused only after a complete response that identified its request,
 //! so that stray bytes are never read as the response to another request. Dropping a connection closes it, which makes
 //! the endpoint cancel the request.
 
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use chestnutstage_core::pool::Key;
+use derive_more::Display;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -19,6 +20,7 @@
 use hyper_util::rt::TokioIo;
 use log::debug;
 use metrics::counter;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
@@ -27,7 +29,7 @@
 use crate::read_budget::ReadBudget;
 
 /// Connect timeout; connecting normally takes one round trip.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time after which a connection with unacknowledged data is closed.
 const USER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Idle time after which a connection is closed, unless the endpoint states a shorter one.
@@ -37,11 +39,29 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Idle time after which a connection is not reused for a request that may run only once.
 const ONCE_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Idle time after which a relayed connection is closed; a peer that shuts down waits for it.
+const RELAYED_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest number of idle connections kept to one endpoint.
 const IDLE_CONNECTIONS_MAX: usize = 4;
 /// Size of the buffer of a connection.
 const BUFFER_BYTES: usize = 64 << 10;
 
+/// Stream of bytes to an endpoint.
+pub(crate) trait ByteStream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<S: AsyncRead + AsyncWrite + Send + Unpin> ByteStream for S {}
+
+/// How a connection reaches its endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum Via {
+    /// Over the network.
+    #[display("direct")]
+    Direct,
+    /// Through a peer.
+    #[display("peer")]
+    Peer,
+}
+
 /// Task that drives a connection; closes the connection when dropped.
 #[derive(Debug)]
 struct Driver(JoinHandle<()>);
@@ -59,6 +79,7 @@
     pub(crate) budget: ReadBudget,
     _driver: Driver,
     idle_timeout: Duration,
+    via: Via,
 }
 
 /// Failure to send a request on a connection.
@@ -70,12 +91,18 @@
     Unknown(String),
 }
 
+/// Opens a TCP connection to an endpoint.
+pub(crate) async fn open_direct(address: SocketAddr) -> io::Result<TcpStream> {
+    let connecting = TcpStream::connect(address);
+    let stream = timeout(CONNECT_TIMEOUT, connecting).await.map_err(|_| io::ErrorKind::TimedOut)??;
+    stream.set_nodelay(true)?;
+    rustix::net::sockopt::set_tcp_user_timeout(&stream, USER_TIMEOUT.as_millis() as u32)?;
+    Ok(stream)
+}
+
 impl Channel {
-    async fn open(address: SocketAddr) -> io::Result<Self> {
-        let connecting = TcpStream::connect(address);
-        let stream = timeout(CONNECT_TIMEOUT, connecting).await.map_err(|_| io::ErrorKind::TimedOut)??;
-        stream.set_nodelay(true)?;
-        rustix::net::sockopt::set_tcp_user_timeout(&stream, USER_TIMEOUT.as_millis() as u32)?;
+    /// Wraps a stream of bytes to an endpoint.
+    pub(crate) async fn new(stream: Box<dyn ByteStream>, via: Via, address: SocketAddr) -> io::Result<Self> {
         let builder = http1::Builder::new().max_buf_size(BUFFER_BYTES).to_owned();
         let budget = ReadBudget::default();
         let stream = ObservedStream::new(stream, budget.clone());
@@ -85,8 +112,16 @@
                 debug!("connection to {address} ended: {e}");
             }
         });
-        counter!("chestnutstage_endpoint_connections_total").increment(1);
-        Ok(Self { sender, budget, _driver: Driver(driver), idle_timeout: IDLE_TIMEOUT })
+        counter!("chestnutstage_endpoint_connections_total", "via" => via.to_string()).increment(1);
+        Ok(Self { sender, budget, _driver: Driver(driver), idle_timeout: IDLE_TIMEOUT, via })
+    }
+
+    /// Time after which the connection is closed if it is idle.
+    fn idle_limit(&self) -> Duration {
+        match self.via {
+            Via::Direct => self.idle_timeout,
+            Via::Peer => self.idle_timeout.min(RELAYED_IDLE_TIMEOUT),
+        }
     }
 
     /// Sends a request and waits for the head of the response.
@@ -137,25 +172,16 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns an idle connection, or opens a new one. A request that may run only once gets an idle connection only if
-    /// that was in use within [`ONCE_IDLE_TIMEOUT`].
-    ///
-    /// # Errors
-    ///
-    /// The connection can't be opened; nothing was sent.
-    pub(crate) async fn get(&self, key: Key, address: SocketAddr, once: bool) -> io::Result<Channel> {
-        if let Some(channel) = self.take_idle(key, once) {
-            return Ok(channel);
-        }
-        Channel::open(address).await
-    }
-
-    fn take_idle(&self, key: Key, once: bool) -> Option<Channel> {
+    /// Takes an idle connection. A request that may run only once gets one only if that was in use within
+    /// [`ONCE_IDLE_TIMEOUT`]. If the path to the endpoint is lost, direct connections are closed: they may hang.
+    pub(crate) fn take_idle(&self, key: Key, once: bool, lost: bool) -> Option<Channel> {
         let mut idle = self.lock();
         let queue = idle.get_mut(&key)?;
         while let Some(Idle { channel, since }) = queue.pop() {
-            let limit = if once { channel.idle_timeout.min(ONCE_IDLE_TIMEOUT) } else { channel.idle_timeout };
-            if since.elapsed() < limit && channel.sender.is_ready() && !channel.sender.is_closed() {
+            let limit = channel.idle_limit();
+            let limit = if once { limit.min(ONCE_IDLE_TIMEOUT) } else { limit };
+            let usable = !lost || channel.via == Via::Peer;
+            if usable && since.elapsed() < limit && channel.sender.is_ready() && !channel.sender.is_closed() {
                 return Some(channel);
             }
         }
@@ -174,7 +200,7 @@
     /// Closes connections that exceeded their idle timeout or were closed by the endpoint.
     pub(crate) fn sweep(&self) {
         self.lock().retain(|_, queue| {
-            queue.retain(|i| i.since.elapsed() < i.channel.idle_timeout && !i.channel.sender.is_closed());
+            queue.retain(|i| i.since.elapsed() < i.channel.idle_limit() && !i.channel.sender.is_closed());
             !queue.is_empty()
         });
     }
--- a/chestnutstage_gateway/src/conversation.rs
+++ b/chestnutstage_gateway/src/conversation.rs
@@ -14,6 +14,7 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::dispatcher::Place;
+use crate::engine_access::EngineCall;
 use crate::external::Topic;
 use crate::peers::MESSAGE_BYTES_MAX;
 
@@ -43,6 +44,10 @@
     Limit(Key, Option<f64>),
     /// Asks for a permit for one request to a limited endpoint.
     Permit(LimitReport),
+    /// Asks for a connection to an endpoint; after a success the stream carries its bytes.
+    Tunnel(Key),
+    /// Asks for a call of an engine's control API.
+    CallEngine(Key, EngineCall),
 }
 
 /// Sent on the stream of a grant when the first event has arrived.
@@ -51,7 +56,7 @@
 
 /// One request stream.
 pub(crate) struct Conversation {
-    /// Name of the other instance, if this one opened the stream.
+    /// Name of the other instance, if this one opened the stream and has a use for it.
     pub(crate) peer: Option<InstanceId>,
     send: FramedWrite<SendStream, LengthDelimitedCodec>,
     receive: FramedRead<RecvStream, LengthDelimitedCodec>,
@@ -66,12 +71,12 @@
 
     /// Opens a stream and sends a request.
     pub(crate) async fn open(
-        peer: InstanceId,
+        peer: Option<InstanceId>,
         connection: &Connection,
         request: &PeerRequest,
     ) -> Result<Self, String> {
         let (send, receive) = connection.open_bi().await.map_err(|e| e.to_string())?;
-        let mut conversation = Self::new(Some(peer), send, receive);
+        let mut conversation = Self::new(peer, send, receive);
         conversation.send(request).await?;
         Ok(conversation)
     }
@@ -102,6 +107,12 @@
         request.await.map_err(|_| "no request arrived in time".to_owned())?
     }
 
+    /// The stream itself, if nothing more than the messages so far has been read from it.
+    pub(crate) fn into_streams(self) -> Option<(SendStream, RecvStream)> {
+        let is_drained = self.receive.read_buffer().is_empty();
+        is_drained.then(|| (self.send.into_inner(), self.receive.into_inner()))
+    }
+
     /// Waits until the other instance has ended the stream or the link is lost.
     pub(crate) async fn ended(&mut self) {
         while let Ok(Some(())) = self.receive::<()>().await {}
--- a/chestnutstage_gateway/src/dispatcher.rs
+++ b/chestnutstage_gateway/src/dispatcher.rs
@@ -260,6 +260,33 @@
     }
 }
 
+/// Asks for the listed endpoints that accept work, in ascending order of their keys.
+pub(crate) struct ListOpen;
+
+impl Message<ListOpen> for Dispatcher {
+    type Reply = Vec<(Key, SocketAddr)>;
+
+    async fn handle(&mut self, _: ListOpen, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.pool.open_addresses(self.clock.now()).collect()
+    }
+}
+
+/// Asks for the address of a listed endpoint.
+pub(crate) struct FindAddress {
+    pub(crate) key: Key,
+    /// Whether the endpoint has to accept work.
+    pub(crate) open: bool,
+}
+
+impl Message<FindAddress> for Dispatcher {
+    type Reply = Option<SocketAddr>;
+
+    async fn handle(&mut self, msg: FindAddress, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let is_usable = !msg.open || self.pool.is_open(self.clock.now(), msg.key);
+        self.pool.address(msg.key).filter(|_| is_usable)
+    }
+}
+
 /// Applies changes of the list of endpoints.
 pub(crate) struct UpdateListings {
     pub(crate) facts: Vec<Fact>,
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -6,7 +6,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -32,7 +31,7 @@
 use crate::quarantine::BrokenRequest;
 use crate::request_digest::digest;
 use crate::response::{BoxResponse, DEFAULT_RETRY_DELAY, Reason, error_response, full};
-use crate::shared::Shared;
+use crate::shared::{ActiveWork, Shared};
 use crate::stream;
 
 /// Maximum number of times that one request is sent, including to endpoints that did not run it.
@@ -43,15 +42,6 @@
 /// Largest response of a plain service that is buffered before it is forwarded.
 const BUFFERED_BYTES_MAX: usize = 1 << 20;
 
-/// Counts a request in progress until dropped.
-struct ActiveRequest(Arc<Shared>);
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Reports a request that is dropped before its response: the caller's connection was closed, by the caller or here.
 struct Unanswered {
     request: String,
@@ -91,14 +81,13 @@
     /// Error response of an endpoint, returned to the caller if no other endpoint does better.
     pub(crate) fallback: Option<(response::Parts, Bytes)>,
     pub(crate) tried: Vec<Key>,
-    _active: ActiveRequest,
+    _active: ActiveWork,
 }
 
 /// Handles one request of a caller.
 pub(crate) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> BoxResponse {
     let arrived = Instant::now();
-    shared.running.fetch_add(1, Ordering::Relaxed);
-    let active = ActiveRequest(shared.clone());
+    let active = ActiveWork::start(&shared);
     let (parts, mut body) = request.into_parts();
     let id = header_text(&parts.headers, &shared.adapters.header_format.names().attempt)
         .unwrap_or_default()
@@ -135,7 +124,7 @@
         mut parts: Parts,
         body: &mut Incoming,
         arrived: Instant,
-        active: ActiveRequest,
+        active: ActiveWork,
     ) -> Result<Self, Rejection> {
         let directory = shared
             .store_cache
@@ -306,9 +295,9 @@
                 return Forwarded::Response(stream::response(self, upstream, prefix).await);
             }
             Ok(Ok(Buffered::Prefix(_))) => {
-                return self.repeat_or_fail(upstream, "the response is too large").await;
+                return self.repeat_or_fail(upstream, "the response is too large");
             }
-            Ok(Err(e)) => return self.repeat_or_fail(upstream, &e.to_string()).await,
+            Ok(Err(e)) => return self.repeat_or_fail(upstream, &e.to_string()),
             Err(_) => return Forwarded::Response(self.fail()),
         };
         let closes = upstream.closes();
@@ -359,10 +348,10 @@
     }
 
     /// Goes on after a response that can't be read.
-    async fn repeat_or_fail(mut self, upstream: Box<Upstream>, cause: &str) -> Forwarded {
+    fn repeat_or_fail(mut self, upstream: Box<Upstream>, cause: &str) -> Forwarded {
         warn!(request = self.id; "failed to read the response: {cause}");
         self.record_broken(upstream.key, upstream.address, Evidence::Started);
-        self.shared.report_failure(upstream.key, Fault::Broken).await;
+        self.shared.report_failure(upstream.key, Fault::Broken);
         drop(upstream);
         if self.may_repeat() { Forwarded::Repeat(Box::new(self)) } else { Forwarded::Response(self.fail()) }
     }
--- a/chestnutstage_gateway/src/external.rs
+++ b/chestnutstage_gateway/src/external.rs
@@ -115,7 +115,7 @@
 }
 
 /// Cause of a failed operation.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize, Deserialize)]
 pub enum Failure {
     /// The store no longer keeps the history from the requested revision on.
     #[display("history no longer kept")]
@@ -231,7 +231,7 @@
 }
 
 /// Load that an engine reports.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Ratio of the engine's actual time to the published time.
     pub pace: f32,
--- a/chestnutstage_gateway/src/failover.rs
+++ b/chestnutstage_gateway/src/failover.rs
@@ -111,8 +111,8 @@
             };
             match outcome {
                 HeadWait::Ended(sent) => return self.accept_head(pending, sent).await,
-                HeadWait::Expired => return self.give_up(pending, "did not respond in time").await,
-                HeadWait::Unreachable => return self.give_up(pending, "does not answer load probes").await,
+                HeadWait::Expired => return self.give_up(&pending, "did not respond in time"),
+                HeadWait::Unreachable => return self.give_up(&pending, "does not answer load probes"),
                 HeadWait::Late => {
                     head_deadline = self.deadline.min(Instant::now() + FAILOVER_RECHECK_INTERVAL);
                     if failovers < FAILOVERS_MAX
@@ -122,7 +122,7 @@
                         match self.race_another(&mut pending).await {
                             Race::First(sent) => return self.accept_head(pending, sent).await,
                             Race::Other(attempt) => return attempt,
-                            Race::Lost => return self.give_up(pending, "does not answer load probes").await,
+                            Race::Lost => return self.give_up(&pending, "does not answer load probes"),
                             Race::None => {}
                         }
                     }
@@ -138,7 +138,7 @@
             return Race::None;
         }
         if !std::mem::replace(&mut pending.reported, true) {
-            self.shared.report_failure(pending.placement.key, Fault::Silence).await;
+            self.shared.report_failure(pending.placement.key, Fault::Silence);
         }
         info!(
             request = self.id, endpoint:% = pending.placement.listing.id;
@@ -206,9 +206,9 @@
     }
 
     /// Ends the wait for an endpoint that may have run the request.
-    async fn give_up(&self, pending: PendingSend, cause: &str) -> Attempt {
+    fn give_up(&self, pending: &PendingSend, cause: &str) -> Attempt {
         if !pending.reported {
-            self.shared.report_failure(pending.placement.key, Fault::Silence).await;
+            self.shared.report_failure(pending.placement.key, Fault::Silence);
         }
         Attempt::Unknown(format!("{} {cause}", pending.placement.listing.id))
     }
--- a/chestnutstage_gateway/src/gateway.rs
+++ b/chestnutstage_gateway/src/gateway.rs
@@ -20,14 +20,16 @@
 use crate::channel::Channels;
 use crate::clock::Clock;
 use crate::dispatcher::Dispatcher;
+use crate::engine_access::EngineAccess;
 use crate::external::{Member, Topic};
 use crate::identity::{LinkError, generate_identity};
+use crate::paths::PathWatch;
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::shared::{Adapters, Shared};
 use crate::store_cache::StoreCache;
 use crate::store_watcher::StoreWatcher;
-use crate::{checks, listener, load_reports};
+use crate::{checks, listener, load_reports, paths};
 
 /// Delay before a failed call to the store is retried at startup.
 const START_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -128,10 +130,13 @@
         info!(callers:% = settings.listen.callers, zone:% = settings.instance.zone; "instance starting");
         let budget = retry_budget(&settings);
         let name = settings.instance.name.clone();
-        let shared = Arc::new(Shared {
+        let direct_engines = adapters.engines.clone();
+        let shared = Arc::new_cyclic(|shared| Shared {
             settings,
             clock,
-            adapters,
+            adapters: Adapters { engines: Arc::new(EngineAccess::new(shared.clone())), ..adapters },
+            paths: PathWatch::default(),
+            direct_engines,
             store_cache: Arc::new(StoreCache::new(clock, dispatcher.clone(), name.clone())),
             dispatcher,
             limits_known,
@@ -152,6 +157,7 @@
             tokio::spawn(store_watcher(&shared, topic).run());
         }
         tokio::spawn(sweep(shared.clone()));
+        tokio::spawn(paths::watch(shared.clone()));
         tokio::spawn(connect_peers(shared.clone(), granted, peers.clone()));
         Ok(Self { shared, closing, peers, addresses })
     }
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! Modules that a request passes through, in order: `listener` (the caller's connection), `exchange` (the whole
 //! request), `admission` (route, customer, body), `attempt` (one sending to an endpoint), `placer` (placement here or by a planner), `dispatcher` (the pool),
-//! `reservations` (KV memory), `channel` (connection to the endpoint), `stream` (events back to the caller).
+//! `reservations` (KV memory), `channel` (connection to the endpoint; `paths` and `tunnel` where the path there is lost), `stream` (events back to the caller).
 
 #![warn(missing_docs)]
 
@@ -19,6 +19,7 @@
 mod conversation;
 mod dispatcher;
 mod endpoint_signals;
+mod engine_access;
 mod exchange;
 pub mod external;
 mod failover;
@@ -30,6 +31,7 @@
 mod liveness;
 mod load_reports;
 mod observed_stream;
+mod paths;
 mod peer_message;
 mod peers;
 mod permits;
@@ -45,6 +47,7 @@
 mod store_watcher;
 mod stream;
 mod topic_sync;
+mod tunnel;
 
 pub use gateway::{Gateway, ListenAddresses, StartError};
 pub use identity::LinkError;
--- a/chestnutstage_gateway/src/listener.rs
+++ b/chestnutstage_gateway/src/listener.rs
@@ -195,7 +195,7 @@
         async move {
             state.begin(Limits::current(&shared).idle);
             let mut response = exchange::serve(shared.clone(), request).await;
-            if shared.is_draining() {
+            if shared.is_draining() || shared.has_no_path() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             let (head, body) = response.into_parts();
--- a/chestnutstage_gateway/src/load_reports.rs
+++ b/chestnutstage_gateway/src/load_reports.rs
@@ -14,7 +14,8 @@
 use metrics::counter;
 use tokio::time::{sleep, timeout};
 
-use crate::dispatcher::{Failed, ListEngines, LoadReported};
+use crate::dispatcher::{ListEngines, LoadReported};
+use crate::fault::Fault;
 use crate::peers::Peers;
 use crate::shared::Shared;
 
@@ -52,12 +53,12 @@
     }
 }
 
-async fn poll_engine(shared: &Shared, key: Key, listing: &Listing, misses: &mut u32) {
+async fn poll_engine(shared: &Arc<Shared>, key: Key, listing: &Listing, misses: &mut u32) {
     counter!("chestnutstage_reports_total").increment(1);
     let report = match timeout(REPORT_TIMEOUT, shared.adapters.engines.report(listing.address)).await {
         Ok(Ok(report)) => report,
-        Ok(Err(e)) => return record_miss(shared, key, listing, misses, &e.to_string()).await,
-        Err(_) => return record_miss(shared, key, listing, misses, "timed out").await,
+        Ok(Err(e)) => return record_miss(shared, key, listing, misses, &e.to_string()),
+        Err(_) => return record_miss(shared, key, listing, misses, "timed out"),
     };
     *misses = 0;
     if report.pace >= SLOW_PACE_MIN {
@@ -73,10 +74,10 @@
     );
 }
 
-async fn record_miss(shared: &Shared, key: Key, listing: &Listing, misses: &mut u32, reason: &str) {
+fn record_miss(shared: &Arc<Shared>, key: Key, listing: &Listing, misses: &mut u32, reason: &str) {
     *misses += 1;
     info!(endpoint:% = listing.id, misses = *misses; "no load report: {reason}");
-    if *misses >= MISSES_MAX && shared.dispatcher.ask(Failed(key)).await.is_err() {
-        warn!("dispatcher has stopped; failure of an engine not recorded");
+    if *misses >= MISSES_MAX {
+        shared.report_failure(key, Fault::Silence);
     }
 }
--- a/chestnutstage_gateway/src/observed_stream.rs
+++ b/chestnutstage_gateway/src/observed_stream.rs
@@ -1,11 +1,10 @@
-//! TCP connection whose received bytes are observed.
+//! Connection whose received bytes are observed.
 
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Observes the bytes received on a connection.
 pub(crate) trait ReadObserver: Unpin {
@@ -15,18 +14,18 @@
 
 /// Connection whose received bytes are observed.
 #[derive(Debug)]
-pub(crate) struct ObservedStream<O> {
-    stream: TcpStream,
+pub(crate) struct ObservedStream<S, O> {
+    stream: S,
     observer: O,
 }
 
-impl<O: ReadObserver> ObservedStream<O> {
-    pub(crate) const fn new(stream: TcpStream, observer: O) -> Self {
+impl<S, O: ReadObserver> ObservedStream<S, O> {
+    pub(crate) const fn new(stream: S, observer: O) -> Self {
         Self { stream, observer }
     }
 }
 
-impl<O: ReadObserver> AsyncRead for ObservedStream<O> {
+impl<S: AsyncRead + Unpin, O: ReadObserver> AsyncRead for ObservedStream<S, O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -39,7 +38,7 @@
     }
 }
 
-impl<O: ReadObserver> AsyncWrite for ObservedStream<O> {
+impl<S: AsyncWrite + Unpin, O: ReadObserver> AsyncWrite for ObservedStream<S, O> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
--- a/chestnutstage_gateway/src/peer_message.rs
+++ b/chestnutstage_gateway/src/peer_message.rs
@@ -33,10 +33,33 @@
     pub(crate) quarantine: Vec<FeatureReport>,
 }
 
-/// Decodes a message: the time at which the receiver sent the last state that the sender has, then the sender's state.
-pub(crate) fn decode(bytes: &[u8]) -> postcard::Result<(Option<Time>, State)> {
+/// A message of a peer.
+pub(crate) struct PeerMessage {
+    /// Time at which the receiver sent the last state that the sender has.
+    pub(crate) echo: Option<Time>,
+    pub(crate) state: State,
+    pub(crate) extension: Extension,
+}
+
+/// What follows the state; a peer of an earlier version sends none and ignores it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Extension {
+    /// Whether the sender takes itself to be cut off from all endpoints.
+    pub(crate) cut_off: bool,
+}
+
+/// Decodes a message.
+pub(crate) fn decode(bytes: &[u8]) -> postcard::Result<PeerMessage> {
     let (echo, remaining) = postcard::take_from_bytes(bytes)?;
-    Ok((echo, postcard::from_bytes(remaining)?))
+    let (state, remaining) = postcard::take_from_bytes(remaining)?;
+    let extension =
+        if remaining.is_empty() { Extension::default() } else { postcard::from_bytes(remaining)? };
+    Ok(PeerMessage { echo, state, extension })
+}
+
+/// Encodes a state with its extension.
+pub(crate) fn encode(state: &State, extension: &Extension) -> postcard::Result<Bytes> {
+    Ok(Bytes::from(postcard::to_extend(extension, postcard::to_stdvec(state)?)?))
 }
 
 /// Sends a state as a datagram if it fits into one, otherwise on a stream.
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chestnutstage_core::ids::InstanceId;
+use chestnutstage_core::ids::{InstanceId, ZoneId};
 use chestnutstage_core::rendezvous;
 use chestnutstage_core::time::Time;
 use log::{debug, info, warn};
@@ -26,7 +26,7 @@
 
 use crate::external::{Member, Topic};
 use crate::identity::{CERTIFICATE_NAME, LinkError, configs};
-use crate::peer_message::{State, decode, send};
+use crate::peer_message::{Extension, PeerMessage, State, decode, encode, send};
 use crate::shared::Shared;
 
 /// Timeout of a connection attempt: a peer that starts at the same time may not listen yet, and QUIC retransmits its
@@ -58,6 +58,9 @@
     sequence: u64,
     /// Time at which the peer sent the last received state, by its own clock.
     sent: Time,
+    zone: ZoneId,
+    /// Whether it takes itself to be cut off from all endpoints.
+    cut_off: bool,
 }
 
 /// Links to the other instances.
@@ -146,6 +149,20 @@
         self.lock().get(id).map(|peer| peer.connection.clone())
     }
 
+    /// Connections to linked instances that reach endpoints, as far as is known; those of this zone first.
+    pub(crate) fn relays(&self) -> Vec<Connection> {
+        let zone = &self.shared.settings.instance.zone;
+        let mut relays: Vec<_> = {
+            let links = self.lock();
+            let reaching = links.values().filter(|peer| !peer.cut_off);
+            reaching
+                .map(|peer| (peer.zone != *zone, rand::random::<u32>(), peer.connection.clone()))
+                .collect()
+        };
+        relays.sort_by_key(|(remote, turn, _)| (*remote, *turn));
+        relays.into_iter().map(|(.., connection)| connection).collect()
+    }
+
     /// Planners that did not answer lately, each with the time until which it is asked after the others.
     pub(crate) fn lock_bypassed(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Instant>> {
         self.bypassed.lock().unwrap_or_else(PoisonError::into_inner)
@@ -250,9 +267,9 @@
             };
             match message {
                 Ok(bytes) => match decode(&bytes) {
-                    Ok((echo, state)) => {
-                        let first = peer.replace(state.id.clone()).is_none();
-                        self.apply_state(echo, state, &connection, first).await;
+                    Ok(message) => {
+                        let first = peer.replace(message.state.id.clone()).is_none();
+                        self.apply_state(message, &connection, first).await;
                     }
                     Err(e) => warn!("message of a peer can't be decoded and is dropped: {e}"),
                 },
@@ -274,13 +291,8 @@
         }
     }
 
-    async fn apply_state(
-        self: &Arc<Self>,
-        echo: Option<Time>,
-        state: State,
-        connection: &Connection,
-        first: bool,
-    ) {
+    async fn apply_state(self: &Arc<Self>, message: PeerMessage, connection: &Connection, first: bool) {
+        let PeerMessage { echo, state, extension } = message;
         {
             let mut links = self.lock();
             let known = links.get(&state.id);
@@ -296,6 +308,8 @@
                 incarnation: state.life,
                 sequence: state.sequence,
                 sent: state.sent,
+                zone: state.zone.clone(),
+                cut_off: extension.cut_off,
             };
             links.insert(state.id.clone(), peer);
             if replaced {
@@ -362,8 +376,9 @@
             leaving: self.is_leaving().await,
             quarantine: if marked { self.shared.quarantine_reports(all_reports) } else { Vec::new() },
         };
-        match postcard::to_stdvec(&state) {
-            Ok(bytes) => Some(Bytes::from(bytes)),
+        let extension = Extension { cut_off: self.shared.is_cut_off() };
+        match encode(&state, &extension) {
+            Ok(bytes) => Some(bytes),
             Err(e) => {
                 warn!("state for the peers can't be encoded and is not sent: {e}");
                 None
--- a/chestnutstage_gateway/src/permits.rs
+++ b/chestnutstage_gateway/src/permits.rs
@@ -52,7 +52,7 @@
     async fn ask_permit(&self, planner: InstanceId, limit: LimitReport) -> Result<Permit, String> {
         let connection = self.connection(&planner).ok_or("the link is lost")?;
         let request = PeerRequest::Permit(limit);
-        Conversation::open(planner, &connection, &request).await?.receive_response().await
+        Conversation::open(Some(planner), &connection, &request).await?.receive_response().await
     }
 }
 
--- a/chestnutstage_gateway/src/placer.rs
+++ b/chestnutstage_gateway/src/placer.rs
@@ -175,8 +175,8 @@
         }
     }
 
-    /// Reports a failure of an endpoint here and, unless this instance is one, to a planner.
-    pub(crate) async fn report_failure(&self, key: Key, fault: Fault) {
+    /// Records a failure of an endpoint here and, unless this instance is one, to a planner.
+    pub(crate) async fn record_failure(&self, key: Key, fault: Fault) {
         counter!("chestnutstage_endpoint_faults_total", "fault" => fault.to_string()).increment(1);
         match self.dispatcher.ask(Failed(key)).await {
             Ok(pause) => {
@@ -203,7 +203,7 @@
     /// Reports a failure of the endpoint at an address; returns whether there is one.
     pub(crate) async fn report_failure_at(&self, address: std::net::SocketAddr) -> bool {
         let Ok(Some(key)) = self.dispatcher.ask(FindEndpoint(address)).await else { return false };
-        self.report_failure(key, Fault::Refusal).await;
+        self.record_failure(key, Fault::Refusal).await;
         true
     }
 
@@ -227,7 +227,7 @@
 ) -> Result<Result<(Granted, Conversation), Refusal>, String> {
     let connection = peers.connection(planner).ok_or("the link is lost")?;
     let request = PeerRequest::Place(place.clone());
-    let mut conversation = Conversation::open(planner.clone(), &connection, &request).await?;
+    let mut conversation = Conversation::open(Some(planner.clone()), &connection, &request).await?;
     let answer: Answer = conversation.receive_response().await?;
     Ok(answer.map(|granted| (granted, conversation)))
 }
@@ -334,7 +334,7 @@
     async fn open_first(&self, request: &PeerRequest) -> Result<Conversation, String> {
         let planner = self.planners_to_ask().into_iter().next().ok_or("no planner is linked")?;
         let connection = self.connection(&planner).ok_or("the link is lost")?;
-        Conversation::open(planner, &connection, request).await
+        Conversation::open(Some(planner), &connection, request).await
     }
 
     /// Asks the first planner in the order.
@@ -366,6 +366,8 @@
                 let permit = self.shared.serve_permit(limit).await;
                 conversation.send(&permit).await
             }
+            Ok(PeerRequest::Tunnel(key)) => self.serve_tunnel(conversation, key).await,
+            Ok(PeerRequest::CallEngine(key, call)) => self.serve_engine_call(conversation, key, call).await,
             Ok(PeerRequest::Failed(key)) => {
                 if self.shared.dispatcher.ask(Failed(key)).await.is_err() {
                     warn!("dispatcher has stopped; failure of an endpoint not recorded");
--- a/chestnutstage_gateway/src/quarantine.rs
+++ b/chestnutstage_gateway/src/quarantine.rs
@@ -83,13 +83,15 @@
             let BrokenRequest { id, features, customer, endpoint, address, evidence } = broken;
             let report = timeout(PROBE_TIMEOUT, shared.adapters.engines.report(address)).await;
             // One that is silent or overloaded may still run.
-            let ended = matches!(report, Ok(Err(ExternalError { failure: Failure::NoAnswer(_), .. })));
+            let unanswered = matches!(report, Ok(Err(ExternalError { failure: Failure::NoAnswer(_), .. })));
+            // Where nothing else can be reached either, the connection broke with the path.
+            let ended = unanswered && shared.reaches_another(endpoint).await;
             info!(
                 request = id, endpoint:%, ended, evidence:%, customer:?, features = join(&*features);
                 "connection broken before the answer had progressed"
             );
             if ended {
-                shared.report_failure(endpoint, Fault::Broken).await;
+                shared.record_failure(endpoint, Fault::Broken).await;
                 shared.lock_quarantine().record_crash(shared.clock.now(), endpoint, &features, evidence);
             }
         });
--- a/chestnutstage_gateway/src/shared.rs
+++ b/chestnutstage_gateway/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::dispatcher::Dispatcher;
 use crate::external::{Engines, HeaderFormat, Registry};
+use crate::paths::PathWatch;
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::store_cache::StoreCache;
@@ -31,6 +32,22 @@
     pub engines: Arc<dyn Engines>,
 }
 
+/// Counts a request or a tunnel in progress until dropped.
+pub(crate) struct ActiveWork(Arc<Shared>);
+
+impl ActiveWork {
+    pub(crate) fn start(shared: &Arc<Shared>) -> Self {
+        shared.running.fetch_add(1, Ordering::Relaxed);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for ActiveWork {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// State that all parts of an instance share.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -50,6 +67,10 @@
     pub(crate) running: AtomicUsize,
     /// Open connections of callers.
     pub(crate) connections: AtomicUsize,
+    /// Which endpoints this instance reaches.
+    pub(crate) paths: PathWatch,
+    /// Control API of the engines over this instance's own paths.
+    pub(crate) direct_engines: Arc<dyn Engines>,
     /// Unique name of this run of the process, which prefixes the names of its reservations.
     pub(crate) incarnation: String,
 }
@@ -61,13 +82,14 @@
             && self.store_cache.directory().is_some()
             && self.store_cache.has_endpoints()
             && self.store_cache.rules_age() < RULES_AGE_MAX
+            && !self.has_no_path()
     }
 
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
     }
 
-    /// Whether no request is open.
+    /// Whether no request and no tunnel is open.
     pub(crate) fn is_idle(&self) -> bool {
         self.running.load(Ordering::Relaxed) == 0
     }
--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -302,7 +302,7 @@
         }
         let upstream = self.upstream.as_mut()?;
         if suspect && !std::mem::replace(&mut self.reported, true) {
-            self.exchange.shared.report_failure(upstream.key, Fault::Silence).await;
+            self.exchange.shared.report_failure(upstream.key, Fault::Silence);
         }
         let sends = self.exchange.sends;
         let (first, takeover) = {
@@ -378,7 +378,7 @@
     /// Resumes a broken stream at another endpoint; returns whether that was possible.
     async fn resume(&mut self, cause: &str) -> bool {
         let Some(broken) = self.upstream.take() else { return false };
-        self.exchange.shared.report_failure(broken.key, Fault::Broken).await;
+        self.exchange.shared.report_failure(broken.key, Fault::Broken);
         drop(broken);
         while self.exchange.route.repeat == Repeat::Resumable && self.exchange.may_repeat() {
             match self.exchange.attempt().await {
--- a/chestnutstage_gateway/src/topic_sync.rs
+++ b/chestnutstage_gateway/src/topic_sync.rs
@@ -61,6 +61,6 @@
     connection: &Connection,
     topic: Topic,
 ) -> Result<TopicSnapshot, String> {
-    let mut conversation = Conversation::open(peer, connection, &PeerRequest::Topic(topic)).await?;
+    let mut conversation = Conversation::open(Some(peer), connection, &PeerRequest::Topic(topic)).await?;
     conversation.receive_response().await
 }
