The number of slots of an endpoint can't overflow the placement of plain calls

One odd entry among the workers' ended the actor that places requests in a build with overflow checks, and in a release build let the endpoint refuse all: 1,431,655,766 slots times three. All callers got 503 until a restart. The product saturates now.

--- a/chestnutstage_core/src/pool/plain.rs
+++ b/chestnutstage_core/src/pool/plain.rs
@@ -37,7 +37,9 @@
         };
         let best = open
             .iter()
-            .filter(|(_, key, site)| held(key) < site.listing.slots.max(1) * (1 + WAITING_PER_SLOT_MAX))
+            .filter(|(_, key, site)| {
+                held(key) < site.listing.slots.max(1).saturating_mul(1 + WAITING_PER_SLOT_MAX)
+            })
             .min_by(|a, b| cost(a).total_cmp(&cost(b)));
         let Some((rank, key, site)) = best else {
             return Err(Refusal::new(Cause::NoSlot, SLOT_TIME, demand.jitter));
