A refusal without an attempt id counts only on a new connection

A faulty endpoint that wrote an earlier refusal once more on a kept connection made the gateway tell callers 'not run, try again' for a request that it had got, or send it to a second endpoint. Refusals with another id were told apart before; those without one were not.

--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -271,6 +271,11 @@
             self.shared.record_failure(upstream.key, Fault::Response).await;
             return Attempt::Unknown(format!("{} sent the response to another request", upstream.address));
         }
+        // An endpoint may write an earlier refusal once more; without an id that is certain only on a new connection.
+        if not_run && !id_matches && upstream.channel.is_reused() {
+            self.shared.record_failure(upstream.key, Fault::Response).await;
+            return Attempt::Unknown(format!("{} refused a request without its id", upstream.address));
+        }
         if not_run && status != StatusCode::BAD_REQUEST {
             let failed_helper = head
                 .headers
--- a/chestnutstage_gateway/src/channel.rs
+++ b/chestnutstage_gateway/src/channel.rs
@@ -80,6 +80,8 @@
     _driver: Driver,
     idle_timeout: Duration,
     via: Via,
+    /// Requests that were sent on it.
+    sent: u64,
 }
 
 /// Failure to send a request on a connection.
@@ -113,7 +115,7 @@
             }
         });
         counter!("chestnutstage_endpoint_connections_total", "via" => via.to_string()).increment(1);
-        Ok(Self { sender, budget, _driver: Driver(driver), idle_timeout: IDLE_TIMEOUT, via })
+        Ok(Self { sender, budget, _driver: Driver(driver), idle_timeout: IDLE_TIMEOUT, via, sent: 0 })
     }
 
     /// Time after which the connection is closed if it is idle.
@@ -124,6 +126,11 @@
         }
     }
 
+    /// Whether it carried other requests before the latest one.
+    pub(crate) const fn is_reused(&self) -> bool {
+        self.sent > 1
+    }
+
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &mut self,
@@ -133,6 +140,7 @@
             return Err(SendFailure::NotSent(e.to_string()));
         }
         self.budget.start_request();
+        self.sent += 1;
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.idle_timeout = idle_timeout(response.headers());
