A resumed stream whose connection ends before an event is broken

A stream broke after its first events; the endpoint that took over sent a head and closed the connection. The response of two events looked complete to the caller. Errors in place of the rest of a stream were ruled out by error_responses and error_in_success.

--- a/chestnutstage_gateway/src/stream.rs
+++ b/chestnutstage_gateway/src/stream.rs
@@ -213,8 +213,8 @@
             None if has_events && self.exchange.relay.partial_len() > 0 => {
                 return Some(ReadOutcome::Broken("the stream ended inside an event".into()));
             }
-            None if has_events && self.exchange.relay.event_count() == 0 && self.ends_with_connection() => {
-                return Some(ReadOutcome::Broken("the connection ended before the first event".into()));
+            None if has_events && self.upstream_events == 0 && self.ends_with_connection() => {
+                return Some(ReadOutcome::Broken("the connection ended before an event".into()));
             }
             None => return Some(ReadOutcome::End),
         };
