--- a/chestnutstage_gateway/tests/lost_paths.rs
+++ b/chestnutstage_gateway/tests/lost_paths.rs
@@ -150,3 +150,116 @@
         sleep(Duration::from_millis(100)).await;
     }
 }
+
+/// Waits until the dump of an instance says whether it is cut off.
+async fn until_cut_off(harness: &Harness, cut_off: bool) {
+    let told = async {
+        while !state(harness).await.contains(&format!("cut_off = {cut_off}\n")) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(Duration::from_secs(3), told).await.expect("paths are checked");
+}
+
+/// Without requests, only probes tell that the paths are back.
+#[tokio::test]
+async fn paths_return() {
+    let fleet = Fleet::start(&success("done"), &whole_stream()).await;
+    fleet.cut_paths(PathState::Refused).await;
+    fleet.call(Method::GET, "/look/x").await;
+    until_cut_off(&fleet.cut, true).await;
+    let before = fleet.arrived();
+    fleet.cut_paths(PathState::Open).await;
+    until_cut_off(&fleet.cut, false).await;
+    assert_eq!(fleet.arrived(), before, "no request is spent on finding out");
+    let statuses = fleet.call(Method::GET, "/look/x").await;
+    assert_eq!(statuses, [Some(StatusCode::OK); REQUESTS]);
+}
+
+/// Open connections go on while new ones hang.
+#[tokio::test]
+async fn open_connections_live() {
+    let fleet = Fleet::start(&success("done"), &whole_stream()).await;
+    fleet.call(Method::GET, "/look/x").await;
+    fleet.cut_paths(PathState::HungForNew).await;
+    for method in [Method::GET, Method::POST] {
+        let path = if method == Method::GET { "/look/x" } else { "/book/x" };
+        let statuses = fleet.call(method, path).await;
+        assert_eq!(statuses, [Some(StatusCode::OK); REQUESTS], "{path}");
+    }
+}
+
+/// If no peer has a path either, requests are refused at once, and the balancer sends no more.
+#[tokio::test]
+async fn nobody_has_paths() {
+    let fleet = Fleet::start(&success("done"), &whole_stream()).await;
+    fleet.cut_paths(PathState::Refused).await;
+    let gone = tokio::spawn(fleet.sound.gateway.shutdown());
+    fleet.cut.call_until_unready().await;
+    let started = Instant::now();
+    let response = fleet.cut.request(Method::POST, "/book/x").send().await.unwrap();
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers().contains_key("retry-after"));
+    assert!(started.elapsed() < Duration::from_millis(300), "refused without a try");
+    gone.await.unwrap();
+}
+
+impl Harness {
+    /// Sends calls until the instance is not ready.
+    async fn call_until_unready(&self) {
+        let unready = async {
+            while self.ready().await {
+                self.status(Method::GET, "/look/x").await;
+            }
+        };
+        timeout(Duration::from_secs(8), unready).await.expect("an instance without any path is not ready");
+    }
+}
+
+/// One endpoint that is down is no lost path: it is in backoff at every instance.
+#[tokio::test]
+async fn endpoint_down() {
+    let fleet = Fleet::start(&success("done"), &whole_stream()).await;
+    let down = unused_address().await;
+    let listed = Fact::Listed(listing("d9", "desk", down));
+    fleet.sound.store.publish(Topic::Endpoints, vec![listed]);
+    let booked = async {
+        while backoffs(&fleet.cut).await == 0 || backoffs(&fleet.sound).await == 0 {
+            fleet.cut.status(Method::GET, "/look/x").await;
+        }
+    };
+    timeout(Duration::from_secs(5), booked).await.expect("the failure is known at both instances");
+    assert!(state(&fleet.cut).await.contains("cut_off = false\n"));
+}
+
+/// Address at which nobody listens.
+async fn unused_address() -> std::net::SocketAddr {
+    tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+/// A connection that a peer relays breaks as one of the instance's own does.
+#[tokio::test]
+async fn relayed_response_cut() {
+    let head = "HTTP/1.1 200 OK\r\nx-attempt: attempt-1\r\nx-seal: s\r\n";
+    let cut = Reply::Truncate(format!("{head}content-length: 500\r\n\r\nhalf"));
+    let fleet = Fleet::start(&cut, &Reply::Truncate(stream(1..=2))).await;
+    fleet.cut_paths(PathState::Refused).await;
+    let statuses = fleet.call(Method::POST, "/book/x").await;
+    assert_eq!(statuses, [Some(StatusCode::BAD_GATEWAY); REQUESTS], "the request may have run");
+    let texts = fleet.stream().await;
+    assert_eq!(texts, vec![None; REQUESTS], "a stream that was cut does not look complete");
+}
+
+/// The endpoint learns at once that the caller has left, although a peer relays the connection.
+#[tokio::test]
+async fn caller_leaves() {
+    let fleet = Fleet::start(&success("done"), &Reply::Hang(stream(1..=1))).await;
+    fleet.cut_paths(PathState::Refused).await;
+    let request = fleet.cut.request(Method::POST, "/chat/x").header("x-tokens", "100");
+    let mut response = request.send().await.unwrap();
+    assert!(response.chunk().await.unwrap().is_some());
+    drop(response);
+    let closed = fleet.engines.iter().map(|engine| Box::pin(engine.closed.notified()));
+    let closed = futures::future::select_all(closed);
+    timeout(Duration::from_millis(500), closed).await.expect("within the users' bound");
+}
