--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -102,6 +102,9 @@
                 return Err(Attempt::NotRun(format!("failed to connect to {}: {e}", placement.listing.id)));
             }
         };
+        if channel.is_relayed() {
+            info!(request = self.id, endpoint:% = placement.listing.id; "connection goes through a peer");
+        }
         let unlisted = planner.is_some();
         let check = IsOpen { key: placement.key, unlisted, placed: started, permitted };
         if let Some(rejected) = self.recheck(check).await {
--- a/chestnutstage_gateway/src/channel.rs
+++ b/chestnutstage_gateway/src/channel.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// Whether a peer relays it.
+    pub(crate) const fn is_relayed(&self) -> bool {
+        matches!(self.via, Via::Peer)
+    }
+
     /// Whether it carried other requests before the latest one.
     pub(crate) const fn is_reused(&self) -> bool {
         self.sent > 1
