One request with an endless prompt does not end the placement of all others

Cause: numbers of callers entered sums and conversions to durations unchecked.

Change: prompt and answer together are at most 2^32 - 1 tokens, what a grant holds, else 400.

--- a/chestnutstage_core/src/pool/bulk.rs
+++ b/chestnutstage_core/src/pool/bulk.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::place::{Cause, Demand, GrantedPlacement, Helper, Refusal};
-use super::prompt::{Candidate, Engines, LATE_LOSS, WAIT_COST_PER_S, millis, too_late, value_of};
+use super::prompt::{Candidate, Engines, LATE_LOSS, WAIT_COST_PER_S, millis, saturate, too_late, value_of};
 use super::{Part, Work};
 use crate::time::Time;
 
@@ -84,14 +84,14 @@
         };
         let count = chosen.len() as u32;
         let prefill_ms = self.costs.prefill_ms(demand.tokens, count) as f32;
-        let context = (demand.tokens / u64::from(count)) as u32;
+        let context = saturate(demand.tokens / u64::from(count));
         let parts = chosen
             .iter()
             .zip(&memory)
             .map(|(c, m)| Part {
                 endpoint: c.key,
                 read: prefill_ms,
-                memory: *m as u32,
+                memory: saturate(*m),
                 context: if *m > 0 { context } else { 0 },
             })
             .collect();
@@ -131,14 +131,14 @@
         let first_ms = part_costs.iter().map(|r| r.first_ms).fold(0.0, f64::max) + self.straggler_ms(parts);
         let base: f64 = part_costs.iter().map(|r| r.base).sum();
         let mut parts: Vec<usize> = part_costs.iter().map(|r| r.index).collect();
-        let needed = demand.tokens + demand.output;
+        let needed = demand.memory();
         self.put_decode_first(&mut parts, needed)?;
         let pass_ms = Self::longest_pass_ms(&self.open[parts[0]], prefill_ms);
         let reservation =
             if self.free_memory(&self.open[parts[0]]) < needed { RESERVATION_COST } else { 0.0 };
         let fixed = (PART_COST + reservation) * parts.len() as f64;
         let cost = Self::lateness_cost(demand, first_ms, pass_ms) + base + fixed;
-        let free: u64 = parts.iter().map(|&i| self.free_memory(&self.open[i])).sum();
+        let free = parts.iter().map(|&i| self.free_memory(&self.open[i])).fold(0, u64::saturating_add);
         (free >= needed).then_some(Plan { cost, first_ms, base, parts })
     }
 
@@ -172,7 +172,7 @@
     /// KV memory to fill on each engine: all of it on the decode engine if it fits there, otherwise spread
     /// evenly.
     fn split_memory(&self, chosen: &[&Candidate<'_>], demand: &Demand<'_>) -> Option<Vec<u64>> {
-        let needed = demand.tokens + demand.output;
+        let needed = demand.memory();
         let mut memory = vec![0; chosen.len()];
         let decode_free = self.free_memory(chosen[0]);
         if decode_free >= needed {
--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -39,6 +39,13 @@
     pub jitter: f64,
 }
 
+impl Demand<'_> {
+    /// KV memory that the prompt and its answer take, in tokens.
+    pub(super) const fn memory(&self) -> u64 {
+        self.tokens.saturating_add(self.output)
+    }
+}
+
 /// An endpoint that prefills a part of a prompt for the decode endpoint.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Helper {
--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -66,6 +66,9 @@
 /// estimated.
 const MEMORY_SHARE_MAX: f64 = 0.96;
 
+/// Longest time that is calculated with; far beyond any deadline.
+const SPAN_MAX: Duration = Duration::from_hours(24);
+
 /// An engine that may get the request or a part of it.
 pub(super) struct Candidate<'a> {
     pub(super) key: Key,
@@ -202,9 +205,19 @@
     duration.as_secs_f64() * 1e3
 }
 
+/// Time of `ms` milliseconds; one that is too long or no number is as long as the longest.
+fn from_millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1e3).map_or(SPAN_MAX, |span| span.min(SPAN_MAX))
+}
+
+/// Tokens in a part of a grant; more than fit into it count as the most that do.
+pub(super) fn saturate(tokens: u64) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
 pub(super) fn too_late(demand: &Demand<'_>, first_ms: f64) -> Refusal {
     let wait = (first_ms - millis(demand.first)).max(0.0);
-    Refusal::new(Cause::TooLate, Duration::from_secs_f64(wait / 1e3), demand.jitter)
+    Refusal::new(Cause::TooLate, from_millis(wait), demand.jitter)
 }
 
 /// Value of an answer relative to other answers.
@@ -252,7 +265,7 @@
 
     fn place_brief(&self, now: Time, demand: &Demand<'_>) -> Result<GrantedPlacement, Refusal> {
         let prefill_ms = self.costs.prefill_ms(demand.tokens, 1);
-        let memory = demand.tokens + demand.output;
+        let memory = demand.memory();
         let score = |c: &Candidate<'_>| {
             let first_ms = Self::time_to_first_ms(c, prefill_ms);
             let own = Self::lateness_cost(demand, first_ms, Self::longest_pass_ms(c, prefill_ms));
@@ -275,13 +288,17 @@
             .min_by(|a, b| a.0.0.total_cmp(&b.0.0));
         let Some(((_, first_ms), c)) = best else {
             let wait = self.costs.pass_ms(slot_share(self.costs, BRIEF_SLOTS_PREFERRED), 0) * 8.0;
-            return Err(Refusal::new(Cause::NoSlot, Duration::from_secs_f64(wait / 1e3), demand.jitter));
+            return Err(Refusal::new(Cause::NoSlot, from_millis(wait), demand.jitter));
         };
         if first_ms > millis(demand.remaining) {
             return Err(too_late(demand, first_ms));
         }
-        let part =
-            Part { endpoint: c.key, read: prefill_ms as f32, memory: memory as u32, context: memory as u32 };
+        let part = Part {
+            endpoint: c.key,
+            read: prefill_ms as f32,
+            memory: saturate(memory),
+            context: saturate(memory),
+        };
         Ok(self.build_placement(now, demand, Work::Brief, vec![part], first_ms, Vec::new(), 0))
     }
 
@@ -303,7 +320,7 @@
         let ranks = parts.iter().filter_map(|p| rank(p.endpoint)).collect();
         let gap = demand.gap.as_millis() as u32;
         let value = value_of(demand) as f32;
-        let expected = Duration::from_secs_f64(first_ms / 1e3);
+        let expected = from_millis(first_ms);
         let grant = Grant { work, parts, granted: now, first: None, due: now + demand.first, gap, value };
         (key, grant, Placement { number: 0, key, listing, reserve, helpers, ranks, expected })
     }
--- a/chestnutstage_gateway/src/exchange.rs
+++ b/chestnutstage_gateway/src/exchange.rs
@@ -39,6 +39,8 @@
 /// Maximum number of placements of one request, including those on endpoints that could not be reached or had no
 /// memory.
 const PLACEMENTS_MAX: usize = 6;
+/// Largest number of tokens of a prompt and its answer; what a grant can hold.
+const TOKENS_MAX: u64 = u32::MAX as u64;
 /// Largest response of a plain service that is buffered before it is forwarded.
 const BUFFERED_BYTES_MAX: usize = 1 << 20;
 
@@ -143,6 +145,9 @@
         let deadline = arrived + remaining.min(route.timeout);
         let prompt = shared.adapters.header_format.prompt(&parts.headers);
         let prompt = prompt.unwrap_or(Prompt { tokens: 0, output: 0 });
+        if prompt.tokens.saturating_add(prompt.output) > TOKENS_MAX {
+            return Err((Reason::Malformed, None));
+        }
         let shared_parts = shared.shared_parts(&service, &parts.headers);
         remove_hop_by_hop(&mut parts.headers);
         for name in [&names.key, &names.customer, &names.expected, &names.helpers, &CONTENT_LENGTH, &EXPECT] {
