Tests: most instances cut off, a relaying peer that leaves; test doubles keep copies and ports apart

Two faults of the test doubles, found on the way: an instance that was behind in the store's revision fetched the list of endpoints, with the addresses of another instance's paths, from a peer (most_cut_off failed each time with it); the revision of a topic is that of its latest fact now.

--- a/chestnutstage_gateway/tests/common/external.rs
+++ b/chestnutstage_gateway/tests/common/external.rs
@@ -28,6 +28,9 @@
     era: AtomicU64,
     changed: Notify,
     pub down: AtomicBool,
+    /// Whether the revision of a topic is that of its latest fact. Copies of a topic that differ stay as they are then, since no
+    /// instance is ahead of another for long.
+    pub by_topic: AtomicBool,
     compacted: AtomicBool,
     waiting: Mutex<HashMap<Topic, usize>>,
     secret: Mutex<Option<String>>,
@@ -93,9 +96,11 @@
 
     fn after(&self, topic: Topic, after: u64) -> Updates {
         let facts = self.facts.lock().unwrap();
+        let latest = facts.get(&topic).and_then(|facts| facts.last()).map_or(0, |(revision, _)| *revision);
         let all = facts.get(&topic).into_iter().flatten();
         let facts = all.filter(|(revision, _)| *revision > after).map(|(_, fact)| fact.clone()).collect();
-        let number = self.revision.load(Ordering::SeqCst);
+        let by_topic = self.by_topic.load(Ordering::SeqCst);
+        let number = if by_topic { latest } else { self.revision.load(Ordering::SeqCst) };
         Updates { revision: Revision { era: self.era.load(Ordering::SeqCst), number }, facts }
     }
 
--- a/chestnutstage_gateway/tests/common/path.rs
+++ b/chestnutstage_gateway/tests/common/path.rs
@@ -1,7 +1,8 @@
 //! The network path of one instance to one endpoint, which a test can cut.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,8 @@
 use chestnutstage_gateway::external::{Fact, Member, Registry, Revision, Topic, Updates};
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use rustix::net::{AddressFamily, SocketType, bind, listen, socket};
+use rustix::net::sockopt::set_socket_reuseaddr;
+use rustix::net::{AddressFamily, SocketType, bind, getsockname, listen, socket};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -43,10 +45,11 @@
 impl Path {
     /// Opens a path to an endpoint.
     pub fn open(endpoint: SocketAddr) -> Self {
-        let listener = small_listener("127.0.0.1:0".parse().unwrap());
-        let address = listener.local_addr().unwrap();
+        let port = ReservedPort::bind();
+        let address = port.address;
+        let listener = port.listen();
         let (state, states) = watch::channel(PathState::Open);
-        let accepting = tokio::spawn(accept(listener, endpoint, states));
+        let accepting = tokio::spawn(accept(port, listener, endpoint, states));
         Self { address, state, accepting }
     }
 
@@ -73,25 +76,48 @@
     }
 }
 
-/// A listener whose queue holds few connections.
-fn small_listener(address: SocketAddr) -> TcpListener {
-    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
-    rustix::net::sockopt::set_socket_reuseaddr(&socket, true).unwrap();
-    bind(&socket, &address).unwrap();
-    listen(&socket, 8).unwrap();
-    let listener = std::net::TcpListener::from(socket);
-    listener.set_nonblocking(true).unwrap();
-    TcpListener::from_std(listener).unwrap()
+/// A port that nobody else is given, also while nothing listens there and connections are refused.
+struct ReservedPort {
+    address: SocketAddr,
+    holder: OwnedFd,
 }
 
-async fn accept(listener: TcpListener, endpoint: SocketAddr, mut states: watch::Receiver<PathState>) {
-    let address = listener.local_addr().unwrap();
+impl ReservedPort {
+    fn bind() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let holder = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+        bind(&holder, &any).unwrap();
+        let address = SocketAddr::try_from(getsockname(&holder).unwrap()).unwrap();
+        Self { address, holder }
+    }
+
+    /// Listens at the port, with a queue for few connections.
+    fn listen(&self) -> TcpListener {
+        let socket = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+        set_socket_reuseaddr(&socket, true).unwrap();
+        // The holder shares the port with this socket alone.
+        set_socket_reuseaddr(&self.holder, true).unwrap();
+        bind(&socket, &self.address).unwrap();
+        listen(&socket, 8).unwrap();
+        set_socket_reuseaddr(&self.holder, false).unwrap();
+        let listener = std::net::TcpListener::from(socket);
+        listener.set_nonblocking(true).unwrap();
+        TcpListener::from_std(listener).unwrap()
+    }
+}
+
+async fn accept(
+    port: ReservedPort,
+    listener: TcpListener,
+    endpoint: SocketAddr,
+    mut states: watch::Receiver<PathState>,
+) {
     let mut listener = Some(listener);
     loop {
         let state = *states.borrow_and_update();
         match state {
             PathState::Refused => listener = None,
-            PathState::Open if listener.is_none() => listener = Some(small_listener(address)),
+            PathState::Open if listener.is_none() => listener = Some(port.listen()),
             _ => {}
         }
         let accepting = async {
--- a/chestnutstage_gateway/tests/lost_paths.rs
+++ b/chestnutstage_gateway/tests/lost_paths.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use chestnutstage_gateway::external::{Fact, Topic};
@@ -41,6 +42,7 @@
         let addresses: Vec<_> = desks.iter().chain(&engines).map(|backend| backend.address).collect();
         paths.extend(addresses.iter().map(|address| Path::open(*address)));
         let store = Arc::new(FakeStore::default());
+        store.by_topic.store(true, Ordering::SeqCst);
         store.publish(Topic::Operators, vec![Fact::Catalog(Box::new(catalog(1)))]);
         store.publish(Topic::Endpoints, listed);
         let view = StoreView::new(store.clone(), &addresses.into_iter().zip(&paths).collect::<Vec<_>>());
@@ -278,10 +280,46 @@
     }
     let accepted = || -> usize {
         let backends = fleet.desks.iter().chain(&fleet.engines);
-        backends.map(|backend| backend.accepted.load(std::sync::atomic::Ordering::SeqCst)).sum()
+        backends.map(|backend| backend.accepted.load(Ordering::SeqCst)).sum()
     };
     let before = accepted();
     sleep(Duration::from_secs(2)).await;
     let probes = accepted() - before;
     assert!(probes <= 2 * 2 * PROBES_PER_SECOND_MAX, "{probes} connections in 2 s from two instances");
 }
+
+/// Peers that are cut off as well, two of three here, don't keep a request from the one that has paths.
+#[tokio::test]
+async fn most_cut_off() {
+    let fleet = Fleet::start(&success("done"), &whole_stream()).await;
+    let endpoints = fleet.desks.iter().chain(&fleet.engines).map(|backend| backend.address);
+    let view = StoreView::new(fleet.sound.store.clone(), &endpoints.zip(&fleet.paths).collect::<Vec<_>>());
+    let third = Harness::with_registry(settings("i3"), fleet.sound.store.clone(), view).await;
+    third.until_ready().await;
+    let linked = |state: String| state.matches("heard: ").count() >= 2;
+    while !(linked(state(&third).await) && linked(state(&fleet.cut).await)) {
+        sleep(Duration::from_millis(10)).await;
+    }
+    fleet.cut_paths(PathState::Hung).await;
+    for (method, path) in [(Method::GET, "/look/x"), (Method::POST, "/book/x")] {
+        let statuses = fleet.call(method.clone(), path).await;
+        assert_eq!(statuses, [Some(StatusCode::OK); REQUESTS], "{path}");
+        let request = third.request(method, path).header("x-remaining", DEADLINE_MS).send();
+        let response = timeout(Duration::from_millis(DEADLINE_MS), request).await.expect("within its time");
+        assert_eq!(response.unwrap().status(), StatusCode::OK, "{path}");
+    }
+}
+
+/// A peer that shuts down waits for the connections that it relays.
+#[tokio::test]
+async fn relaying_peer_leaves() {
+    let rest = stream(1..=2).split_off(stream(1..=1).len()) + END;
+    let pause = Reply::Pause(Duration::from_millis(900), stream(1..=1), rest);
+    let fleet = Fleet::start(&success("done"), &pause).await;
+    fleet.cut_paths(PathState::Refused).await;
+    let request = fleet.cut.request(Method::POST, "/chat/x").header("x-tokens", "100");
+    let response = request.send().await.unwrap();
+    let leaving = tokio::spawn(fleet.sound.gateway.shutdown());
+    assert_eq!(response.text().await.unwrap(), common::backend::event(1) + &common::backend::event(2));
+    leaving.await.unwrap();
+}
