Fair queueing in its own module, for use by other queues

Start-time fair queueing was part of the queue of an owner. The waiting queue of the planners needs the same order with a precedence before it, so it moves to a generic module.

--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod endpoint;
 mod endpoint_state;
 pub mod engine;
+mod fair;
 pub mod grant;
 pub mod idempotency;
 pub mod ids;
