Waiting queue of a planner: order, admission and rounds

Requests are placed or refused in order of arrival, so that under contention the ranks get equal shares of what can be served. The new module orders those that wait at a planner by rank, fair between customers within it, lets them wait only while they are forecast to start in time, and gives one service in eight to the rank that has waited longest.

--- a/chestnutstage_core/src/fair.rs
+++ b/chestnutstage_core/src/fair.rs
@@ -4,8 +4,10 @@
 //! start is served next; a flow that had nothing queued starts at the current virtual time, so that it can't save up
 //! service. Precedence `P` goes before fairness.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::hash::Hash;
+use std::ops::Bound;
 
 use crate::time::Time;
 
@@ -121,6 +123,15 @@
         true
     }
 
+    /// Charges work that was served without being queued.
+    pub(crate) fn charge(&mut self, id: &F, work: u64, weight: u32) {
+        let start = self.start(id).saturating_add(charge(work, weight));
+        self.detach(id);
+        self.flows.entry(id.clone()).or_insert(Flow { items: BTreeMap::new(), start }).start = start;
+        self.attach(id);
+        self.forget_idle();
+    }
+
     /// Takes a flow out of the orders before it is changed.
     fn detach(&mut self, id: &F) {
         let Some(flow) = self.flows.get(id) else {
@@ -152,4 +163,57 @@
             }
         }
     }
+
+    /// Number and work of the queued items that are served before an item with `key`, which need not be queued.
+    pub(crate) fn ahead(&self, id: &F, key: &Key<P, T>) -> Amount {
+        let mut ahead = Amount::default();
+        let mut start = self.start(id);
+        if let Some(flow) = self.flows.get(id) {
+            if !flow.items.is_empty() {
+                start = flow.start;
+            }
+            for (_, cost) in flow.items.range(..key) {
+                start = start.saturating_add(cost.charge);
+                ahead.count += 1;
+                ahead.work += cost.work;
+            }
+        }
+        let own = (key.0, start, id);
+        for (precedence, first, other) in &self.order {
+            if (*precedence, *first, other) >= own {
+                break;
+            }
+            if other == id {
+                continue;
+            }
+            let mut start = *first;
+            for ((precedence, ..), cost) in self.flows.get(other).into_iter().flat_map(|f| &f.items) {
+                if (*precedence, start, other) >= own {
+                    break;
+                }
+                ahead.count += 1;
+                ahead.work += cost.work;
+                start = start.saturating_add(cost.charge);
+            }
+        }
+        ahead
+    }
+
+    /// Returns the queued items in the order in which they are served if no more arrive, with their work.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (T, u64)> {
+        let heads = self.order.iter().filter_map(|(precedence, start, id)| {
+            Some(Reverse((*precedence, *start, id, self.flows.get(id)?.items.first_key_value()?.0)))
+        });
+        let mut heads: BinaryHeap<_> = heads.collect();
+        std::iter::from_fn(move || {
+            let Reverse((_, start, id, key)) = heads.pop()?;
+            let items = &self.flows.get(id)?.items;
+            let cost = items.get(key)?;
+            let after = (Bound::Excluded(key), Bound::Unbounded);
+            if let Some((next, _)) = items.range(after).next() {
+                heads.push(Reverse((next.0, start.saturating_add(cost.charge), id, next)));
+            }
+            Some((key.2, cost.work))
+        })
+    }
 }
--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -3,7 +3,8 @@
 //! Every module is a pure state machine that receives events and the current time and returns actions. None reads a
 //! clock, performs I/O or uses a global random source, so that the daemon, the tests and the benches run the same
 //! decisions. [`owner`] and [`route`] place requests through the owners of endpoints; [`pool`] places them without owners,
-//! from the grants that all instances exchange. [`members`] and [`rollout`] keep the instances in agreement, and
+//! from the grants that all instances exchange, and [`waiting`] orders
+//! those for which there is no place yet. [`members`] and [`rollout`] keep the instances in agreement, and
 //! [`idempotency`], [`stream`] and [`outcome`] implement the guarantees given to callers.
 
 #![warn(missing_docs)]
@@ -41,6 +42,7 @@
 pub mod route;
 pub mod stream;
 pub mod time;
+pub mod waiting;
 pub mod window;
 
 pub use endpoint_state::Service;
--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -83,7 +83,7 @@
 }
 
 /// Kind of work that a grant covers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Work {
     /// A call of a plain service.
     Plain,
