--- a/chestnutstage_core/benches/decisions.rs
+++ b/chestnutstage_core/benches/decisions.rs
@@ -15,9 +15,10 @@
 use chestnutstage_core::length::{Class, Tokens};
 use chestnutstage_core::members::ModelSet;
 use chestnutstage_core::owner::{End, GrantRequest, Limits, Owner};
-use chestnutstage_core::pool::{Demand, Listing, Pool};
+use chestnutstage_core::pool::{Demand, Listing, Pool, Work};
 use chestnutstage_core::route::{Peer, Router};
 use chestnutstage_core::time::Time;
+use chestnutstage_core::waiting::{Entry, Group, Round, WaitingQueue};
 use chestnutstage_core::window::{Capacity, Load};
 use costs::COSTS;
 use criterion::{BatchSize, BenchmarkId, Criterion};
@@ -34,6 +35,11 @@
 const PLACE_TIME_MAX: Duration = Duration::from_micros(20);
 /// Engines for the bound on placement.
 const PLACED: usize = 64;
+/// Bound on letting a request wait and serving the next one, with [`WAITING`] requests of 24 customers. A placement
+/// beside it has to stay within [`PLACE_TIME_MAX`].
+const WAIT_TIME_MAX: Duration = Duration::from_micros(10);
+/// Waiting requests for the bound on the waiting queue.
+const WAITING: u64 = 200;
 /// Repetitions over which the median, or the mean of admission, is taken.
 const REPEATS: usize = 2_001;
 
@@ -153,6 +159,59 @@
     group.finish();
 }
 
+fn waiting_entry(n: u64) -> Entry {
+    Entry {
+        ticket: n,
+        group: Group { service: model(), work: Work::Brief },
+        rank: (n % 3) as u8,
+        customer: Some(format!("c{}", n / 3 % 24).as_str().into()),
+        weight: 1 + n as u32 % 3,
+        work: 5.0 + (n % 7) as f64,
+        latest: Time::from_millis(100_000 + n * 37 % 101),
+        returning: n.is_multiple_of(11),
+        arrived: Time::ZERO,
+    }
+}
+
+fn waiting_queue(count: u64) -> WaitingQueue {
+    let mut queue = WaitingQueue::default();
+    for n in 0..100 {
+        queue.record_placement(Time::ZERO, &waiting_entry(n));
+    }
+    for n in 0..count {
+        queue.admit(Time::ZERO, waiting_entry(n)).expect("the queue has room");
+    }
+    queue
+}
+
+/// Lets a request wait and serves the next one.
+fn wait(queue: &mut WaitingQueue, entry: Entry) {
+    black_box(queue.must_wait(&entry));
+    black_box(queue.admit(Time::ZERO, entry)).ok();
+    let next = queue.next(&Round::default());
+    black_box(next.and_then(|ticket| queue.serve(Time::ZERO, ticket)));
+}
+
+fn waiting(c: &mut Criterion) {
+    let mut group = c.benchmark_group("wait");
+    for count in [0, 200, 1_000] {
+        let mut queue = waiting_queue(count);
+        let mut n = count;
+        group.bench_with_input(BenchmarkId::from_parameter(count), &count, |b, _| {
+            b.iter_batched(
+                || {
+                    n += 1;
+                    waiting_entry(n)
+                },
+                |entry| wait(&mut queue, entry),
+                BatchSize::SmallInput,
+            );
+        });
+        group.bench_function(BenchmarkId::new("expire", count), |b| b.iter(|| queue.expire(Time::ZERO)));
+    }
+    group.finish();
+}
+
 /// Median time of `step` over [`REPEATS`] runs.
 fn median(mut step: impl FnMut(u64)) -> Duration {
     let mut times: Vec<_> = (0..REPEATS as u64)
@@ -230,7 +289,12 @@
     let routing_ok = check_bound(&format!("routing among {ROUTED} candidates"), choice, ROUTE_TIME_MAX);
     let admission_ok =
         check_bound(&format!("admission before {QUEUED} waiting requests (mean)"), admitted, ADMIT_TIME_MAX);
-    routing_ok && admission_ok && brief_ok && long_ok
+    let mut queue = waiting_queue(WAITING);
+    let mut entries: Vec<_> = (0..REPEATS as u64).map(|n| Some(waiting_entry(WAITING + n))).collect();
+    let waited = median(|n| entries[n as usize].take().into_iter().for_each(|entry| wait(&mut queue, entry)));
+    let waiting_ok =
+        check_bound(&format!("waiting and service among {WAITING} requests"), waited, WAIT_TIME_MAX);
+    routing_ok && admission_ok && brief_ok && long_ok && waiting_ok
 }
 
 fn main() {
@@ -246,5 +310,6 @@
     routing(&mut c);
     admission(&mut c);
     placement(&mut c);
+    waiting(&mut c);
     assert!(check_bounds(), "a decision exceeded its bound");
 }
--- a/chestnutstage_core/tests/waiting_fairness.rs
+++ b/chestnutstage_core/tests/waiting_fairness.rs
@@ -95,7 +95,7 @@
     let mut seen = HashSet::new();
     raise_rate(&mut queue, at(1), &group(Work::Brief));
     for n in 0..2_000_u64 {
-        let item = Entry { returning: n % 11 == 0, ..entry(n, (n % 3) as u8, &format!("c{}", n * n % 24)) };
+        let item = Entry { returning: n % 11 == 0, ..entry(n, (n % 3) as u8, &format!("c{}", n / 3 % 24)) };
         queue.admit(at(1), item).unwrap();
         if n % 3 > 0 {
             for served in serve(&mut queue, at(1), 1) {
