--- a/chestnutstage_core/src/waiting/mod.rs
+++ b/chestnutstage_core/src/waiting/mod.rs
@@ -30,8 +30,8 @@
 pub const ENTRIES_MAX: usize = 1_024;
 /// Maximum number of waiting requests of one customer; those without a customer count as one.
 pub const CUSTOMER_MAX: usize = 256;
-/// Factor by which the forecast wait must exceed the remaining time before an entry is dropped. Placements come in
-/// bursts, so the rate of a second is off by this much at times.
+/// Factor by which the forecast wait must exceed the remaining time before an entry is dropped, since the rate of a single
+/// second varies. Chosen, not measured.
 const DROP_RATIO: f64 = 1.5;
 /// Time by which it must also exceed it, since a few milliseconds decide nothing.
 const DROP_MARGIN: Duration = Duration::from_millis(100);
