Turns of refused callers

Refused callers are given delays that don't know of each other; after an outage they come back together and are refused again.

--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod route;
 pub mod stream;
 pub mod time;
+pub mod turns;
 pub mod window;
 
 pub use endpoint_state::Service;
