--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod stream;
 pub mod time;
 pub mod waiting;
+pub mod turns;
 pub mod window;
 
 pub use endpoint_state::Service;
