A zone that goes dark is not taken for lost paths

Cause: an instance took itself to be cut off after two endpoints in a row that could not be reached. When all endpoints of one zone fail together, their connections time out together, and idle connections to the others prove nothing. Endpoints that are tried before a failure is booked were drawn at random and could all be in the dark zone.

Ruled out: an open idle connection as evidence, since it may hang without an error.

Change: cut off only if endpoints of every zone with open endpoints failed since any connection was opened, two at least; one zone as before. A failure prompts probes of one endpoint of each zone in which none failed, three at most, side by side, so that a cut from all zones is found after one round, as before. Endpoints tried before a failure is booked come from other zones first. Probes of lost endpoints have a cursor of their own: probes of others moved it, so that some lost endpoints were not probed again. The state dump shows the number of cuts.

--- a/chestnutstage_core/src/paths.rs
+++ b/chestnutstage_core/src/paths.rs
@@ -1,20 +1,24 @@
 //! Which endpoints an instance reaches over the network.
 //!
 //! A connection that can't be opened does not tell a lost path from an endpoint that is down. What tells them apart is what
-//! happens to the others: an instance that fails to reach two endpoints in a row, and none in between, takes itself to be
-//! cut off until it reaches one again. Only newly opened connections count, since open ones may live on while new ones are
-//! refused, and may hang without an error.
+//! happens to the others: an instance that fails to reach two endpoints in a row, among them one of every zone that has open
+//! ones, and reaches none in between, takes itself to be cut off until it reaches one again. The failures of one zone alone
+//! don't count as a cut, since all its endpoints fail together when the zone loses its power or its network. Only newly opened
+//! connections count, since open ones may live on while new ones are refused, and may hang without an error.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::pool::Key;
+use crate::ids::ZoneId;
+use crate::pool::{Key, OpenEndpoint};
 use crate::time::Time;
 
 /// Endpoints not reached in a row from which the instance counts as cut off.
 const CUT_OFF_MIN: usize = 2;
 /// Time for which an instance has to be cut off before it stops accepting requests that no peer can send on.
 const CUT_OFF_SETTLED: Duration = Duration::from_secs(1);
+/// Zones of which an endpoint is probed at once after a failure.
+const ZONES_PROBED_MAX: usize = 3;
 
 /// Change of what an instance believes of its paths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,8 +39,12 @@
     /// Endpoints whose path has to be checked.
     suspects: BTreeSet<Key>,
     cut_since: Option<Time>,
-    /// Endpoint that was probed last.
+    /// Number of times that it took itself to be cut off.
+    cuts: u64,
+    /// Endpoint that was probed last, except after a failure elsewhere.
     probed: Option<Key>,
+    /// Endpoint that was probed last after a failure elsewhere.
+    compared: Option<Key>,
 }
 
 impl Paths {
@@ -48,15 +56,17 @@
         self.cut_since.take().map(|since| Change::Reconnected(now.since(since)))
     }
 
-    /// Records that a connection to an endpoint can't be opened.
-    pub fn record_failed(&mut self, now: Time, key: Key) -> Option<Change> {
+    /// Records that a connection to an endpoint can't be opened; `open` are the endpoints that accept work.
+    pub fn record_failed(&mut self, now: Time, key: Key, open: &[OpenEndpoint]) -> Option<Change> {
         self.lost.insert(key);
         self.row.insert(key);
         self.suspects.remove(&key);
-        if self.cut_since.is_some() || self.row.len() < CUT_OFF_MIN {
+        let may_be_cut = self.row.len() >= CUT_OFF_MIN && self.untried_zones(open).is_empty();
+        if self.cut_since.is_some() || !may_be_cut {
             return None;
         }
         self.cut_since = Some(now);
+        self.cuts += 1;
         Some(Change::CutOff)
     }
 
@@ -72,6 +82,11 @@
         self.cut_since.is_some()
     }
 
+    /// Number of times that the instance took itself to be cut off.
+    pub const fn cuts(&self) -> u64 {
+        self.cuts
+    }
+
     /// Whether the instance has been cut off for so long that other endpoints were tried as well.
     pub fn is_settled_cut(&self, now: Time) -> bool {
         self.cut_since.is_some_and(|since| now.since(since) >= CUT_OFF_SETTLED)
@@ -92,27 +107,78 @@
         self.is_cut_off() || !self.lost.is_empty() || !self.suspects.is_empty()
     }
 
-    /// Chooses the endpoint that is probed next, among the `listed` ones in ascending order. Forgets those that are not listed.
-    pub fn next_probe(&mut self, listed: &[Key]) -> Option<Key> {
+    /// Chooses the endpoints that are probed next, among the `open` ones in ascending order of their keys. Forgets those that
+    /// are not open.
+    pub fn next_probes(&mut self, open: &[OpenEndpoint]) -> Vec<Key> {
         for keys in [&mut self.lost, &mut self.row, &mut self.suspects] {
-            keys.retain(|key| listed.binary_search(key).is_ok());
+            keys.retain(|key| open.binary_search_by_key(key, |endpoint| endpoint.key).is_ok());
+        }
+        let mut chosen: Vec<_> = self.suspects.pop_first().into_iter().collect();
+        if self.is_doubtful() && !self.is_cut_off() {
+            // Those that were not tried yet tell soonest whether the instance is cut off.
+            let compared = self.choose_compared(open);
+            self.compared = compared.last().copied().or(self.compared);
+            chosen.extend(compared);
+        }
+        if chosen.is_empty() {
+            let next = if self.is_cut_off() {
+                first_after(self.probed, open.iter().map(|endpoint| endpoint.key))
+            } else {
+                first_after(self.probed, self.lost.iter().copied())
+            };
+            self.probed = next.or(self.probed);
+            chosen.extend(next);
         }
-        let chosen = if let Some(suspect) = self.suspects.pop_first() {
-            Some(suspect)
-        } else if self.is_cut_off() {
-            self.after_probed(listed.iter().copied())
-        } else {
-            // One that was not tried yet tells soonest whether the instance is cut off.
-            let untried = listed.iter().copied().filter(|key| !self.lost.contains(key));
-            let untried = if self.is_doubtful() { self.after_probed(untried) } else { None };
-            untried.or_else(|| self.after_probed(self.lost.iter().copied()))
-        };
-        self.probed = chosen.or(self.probed);
         chosen
     }
 
-    /// The first key after the one that was probed last, in a cycle.
-    fn after_probed(&self, keys: impl Iterator<Item = Key> + Clone) -> Option<Key> {
-        keys.clone().find(|key| Some(*key) > self.probed).or_else(|| keys.min())
+    /// Endpoints that are compared with those that failed: one of each zone in which none failed, otherwise any one. Those that
+    /// are not known as lost come first.
+    fn choose_compared(&self, open: &[OpenEndpoint]) -> Vec<Key> {
+        let (lost, sound): (Vec<_>, Vec<_>) =
+            open.iter().partition(|endpoint| self.lost.contains(&endpoint.key));
+        let untried = self.untried_zones(open);
+        if untried.is_empty() {
+            return first_after(self.compared, sound.iter().map(|endpoint| endpoint.key))
+                .into_iter()
+                .collect();
+        }
+        let chosen = untried.into_iter().filter_map(|zone| {
+            [&sound, &lost].into_iter().find_map(|endpoints| {
+                let inside = endpoints.iter().filter(|endpoint| endpoint.zone == *zone);
+                first_after(self.compared, inside.map(|endpoint| endpoint.key))
+            })
+        });
+        chosen.take(ZONES_PROBED_MAX).collect()
     }
+
+    /// Zones with open endpoints none of which failed since any connection was opened.
+    fn untried_zones<'a>(&self, open: &'a [OpenEndpoint]) -> BTreeSet<&'a ZoneId> {
+        let failed = open.iter().filter(|endpoint| self.row.contains(&endpoint.key));
+        let failed: BTreeSet<_> = failed.map(|endpoint| &endpoint.zone).collect();
+        open.iter().map(|endpoint| &endpoint.zone).filter(|zone| !failed.contains(zone)).collect()
+    }
+}
+
+/// The first key after the one that was chosen last, in a cycle.
+fn first_after(last: Option<Key>, keys: impl Iterator<Item = Key> + Clone) -> Option<Key> {
+    keys.clone().find(|key| Some(*key) > last).or_else(|| keys.min())
+}
+
+/// Chooses endpoints that tell whether the failure of another one is its own, `count` at most and in the given order, but of as
+/// many other zones as possible.
+pub fn choose_witnesses(open: Vec<OpenEndpoint>, failed: Key, count: usize) -> Vec<OpenEndpoint> {
+    let zone = open.iter().find(|endpoint| endpoint.key == failed).map(|endpoint| endpoint.zone.clone());
+    let mut taken: BTreeMap<_, usize> = zone.into_iter().map(|zone| (zone, 1)).collect();
+    let others = open.into_iter().filter(|endpoint| endpoint.key != failed);
+    let mut ranked: Vec<_> = others
+        .map(|endpoint| {
+            let rank = taken.entry(endpoint.zone.clone()).or_default();
+            *rank += 1;
+            (*rank, endpoint)
+        })
+        .collect();
+    ranked.sort_by_key(|(rank, _)| *rank);
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, endpoint)| endpoint).collect()
 }
--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -75,6 +75,17 @@
     pub cold: u64,
 }
 
+/// Listed endpoint that accepts work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OpenEndpoint {
+    /// Key of its incarnation.
+    pub key: Key,
+    /// Address at which it accepts requests.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneId,
+}
+
 impl Listing {
     /// Key of this incarnation.
     pub fn key(&self) -> Key {
@@ -267,9 +278,13 @@
     }
 
     /// Endpoints that accept work, ordered by key.
-    pub fn open_addresses(&self, now: Time) -> impl Iterator<Item = (Key, SocketAddr)> {
+    pub fn open_endpoints(&self, now: Time) -> impl Iterator<Item = OpenEndpoint> {
         let open = self.sites.iter().filter(move |(key, site)| self.accepts_work(now, **key, site));
-        open.map(|(key, site)| (*key, site.listing.address))
+        open.map(|(key, Site { listing, .. })| OpenEndpoint {
+            key: *key,
+            address: listing.address,
+            zone: listing.zone.clone(),
+        })
     }
 
     /// Whether an endpoint is known from the list.
--- a/chestnutstage_gateway/src/checks.rs
+++ b/chestnutstage_gateway/src/checks.rs
@@ -50,6 +50,7 @@
     _ = writeln!(text, "planner = {}", shared.store_cache.is_planner());
     _ = writeln!(text, "watches_store = {}", shared.store_cache.watches_store());
     _ = writeln!(text, "cut_off = {}", shared.is_cut_off());
+    _ = writeln!(text, "cuts = {}", shared.cuts());
     _ = writeln!(text, "planners = {:?}", shared.store_cache.planners());
     _ = writeln!(text, "asked_planners = {:?}", shared.planners_to_ask());
     _ = write!(text, "quarantine:\n{}", shared.dump_quarantine());
--- a/chestnutstage_gateway/src/dispatcher.rs
+++ b/chestnutstage_gateway/src/dispatcher.rs
@@ -10,7 +10,8 @@
 use chestnutstage_core::catalog::Directory;
 use chestnutstage_core::ids::{EndpointId, InstanceId, ModelId, ZoneId};
 use chestnutstage_core::pool::{
-    Changes, Demand, Grant, Key, LimitReport, Listing, Permit, Placement, Pool, Refusal, Snapshot,
+    Changes, Demand, Grant, Key, LimitReport, Listing, OpenEndpoint, Permit, Placement, Pool, Refusal,
+    Snapshot,
 };
 use chestnutstage_core::time::Time;
 use kameo::Actor;
@@ -264,10 +265,10 @@
 pub(crate) struct ListOpen;
 
 impl Message<ListOpen> for Dispatcher {
-    type Reply = Vec<(Key, SocketAddr)>;
+    type Reply = Vec<OpenEndpoint>;
 
     async fn handle(&mut self, _: ListOpen, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        self.pool.open_addresses(self.clock.now()).collect()
+        self.pool.open_endpoints(self.clock.now()).collect()
     }
 }
 
--- a/chestnutstage_gateway/src/paths.rs
+++ b/chestnutstage_gateway/src/paths.rs
@@ -10,11 +10,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use chestnutstage_core::paths::{Change, Paths};
-use chestnutstage_core::pool::Key;
+use chestnutstage_core::paths::{Change, Paths, choose_witnesses};
+use chestnutstage_core::pool::{Key, OpenEndpoint};
 use futures::FutureExt;
 use futures::StreamExt;
-use futures::future::BoxFuture;
+use futures::future::{BoxFuture, join_all};
 use futures::stream::FuturesUnordered;
 use log::{info, warn};
 use metrics::{counter, gauge};
@@ -62,6 +62,11 @@
         self.paths.lock().is_cut_off()
     }
 
+    /// Number of times that this instance took itself to be cut off.
+    pub(crate) fn cuts(&self) -> u64 {
+        self.paths.lock().cuts()
+    }
+
     /// Whether an endpoint is better reached through a peer.
     pub(crate) fn is_lost(&self, key: Key) -> bool {
         self.paths.lock().is_lost(key)
@@ -83,8 +88,9 @@
         log_change(change);
     }
 
-    fn record_unreached(&self, key: Key) {
-        let change = self.paths.lock().record_failed(self.clock.now(), key);
+    async fn record_unreached(&self, key: Key) {
+        let open = self.dispatcher.ask(ListOpen).await.unwrap_or_default();
+        let change = self.paths.lock().record_failed(self.clock.now(), key, &open);
         log_change(change);
     }
 
@@ -102,7 +108,7 @@
                 Ok(Box::new(stream))
             }
             Err(e) => {
-                self.record_unreached(key);
+                self.record_unreached(key).await;
                 Err(e)
             }
         }
@@ -198,14 +204,13 @@
     /// Whether this instance reaches an endpoint other than the one that it failed to reach. Without another one, nothing speaks
     /// against its paths.
     pub(crate) async fn reaches_another(&self, key: Key) -> bool {
-        let listed = self.dispatcher.ask(ListOpen).await.unwrap_or_default();
-        let mut others: Vec<_> = listed.into_iter().filter(|(other, _)| *other != key).collect();
-        others.shuffle(&mut rand::rng());
-        others.truncate(WITNESSES);
+        let mut open = self.dispatcher.ask(ListOpen).await.unwrap_or_default();
+        open.shuffle(&mut rand::rng());
+        let others = choose_witnesses(open, key, WITNESSES);
         if others.is_empty() {
             return true;
         }
-        let ways = others.into_iter().map(|(key, address)| self.reach(key, address).boxed()).collect();
+        let ways = others.into_iter().map(|other| self.reach(other.key, other.address).boxed()).collect();
         first_success(ways, Duration::ZERO).await.is_ok()
     }
 }
@@ -225,7 +230,7 @@
     }
 }
 
-/// Probes paths that failed or are suspect, one at a time; never returns.
+/// Probes paths that failed or are suspect; never returns.
 pub(crate) async fn watch(shared: Arc<Shared>) {
     let mut returning = false;
     loop {
@@ -244,16 +249,20 @@
             Some(interval) => _ = timeout(interval, doubted).await,
             None => doubted.await,
         }
-        let listed = shared.dispatcher.ask(ListOpen).await.unwrap_or_default();
-        let keys: Vec<_> = listed.iter().map(|(key, _)| *key).collect();
-        let chosen = shared.paths.lock().next_probe(&keys);
-        let Some((key, address)) = listed.into_iter().find(|(key, _)| Some(*key) == chosen) else { continue };
-        counter!("chestnutstage_path_probes_total").increment(1);
-        let was_lost = shared.is_lost(key);
-        returning = shared.reach(key, address).await.is_ok() && was_lost;
+        let mut open = shared.dispatcher.ask(ListOpen).await.unwrap_or_default();
+        let chosen = shared.paths.lock().next_probes(&open);
+        open.retain(|endpoint| chosen.contains(&endpoint.key));
+        returning = join_all(open.into_iter().map(|endpoint| probe(&shared, endpoint))).await.contains(&true);
     }
 }
 
+/// Probes the path to an endpoint; returns whether it was lost and is restored.
+async fn probe(shared: &Shared, endpoint: OpenEndpoint) -> bool {
+    counter!("chestnutstage_path_probes_total").increment(1);
+    let was_lost = shared.is_lost(endpoint.key);
+    shared.reach(endpoint.key, endpoint.address).await.is_ok() && was_lost
+}
+
 /// Tries several ways, the next one when one has failed or `stagger` has passed. Returns the first success with the
 /// position of its way, or all failures.
 pub(crate) async fn first_success<T, E>(
--- a/chestnutstage_gateway/tests/lost_paths.rs
+++ b/chestnutstage_gateway/tests/lost_paths.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use chestnutstage_core::pool::Listing;
 use chestnutstage_gateway::external::{Fact, Topic};
 use common::backend::{Backend, END, Reply, stream, success};
 use common::external::FakeStore;
@@ -323,3 +324,58 @@
     assert_eq!(response.text().await.unwrap(), common::backend::event(1) + &common::backend::event(2));
     leaving.await.unwrap();
 }
+
+/// Endpoints in the zone that goes dark; more than are asked whether the instance itself is cut off.
+const DARK: usize = 6;
+/// Calls that are sent at once.
+const BURST: usize = 24;
+
+/// A zone that goes dark is no lost path: its endpoints are in backoff, and connections to the others stay direct. Its endpoints
+/// fail all at once here, and most of the others that could be asked are in the same zone.
+#[tokio::test]
+async fn dark_zone() {
+    let (mut backends, mut paths, mut listed) = (Vec::new(), Vec::new(), Vec::new());
+    for number in 0..DARK + 2 {
+        let backend = Backend::start(vec![success("done")]).await;
+        let zone = if number < DARK { "a" } else { ["b", "c"][number - DARK] };
+        let desk = Listing { zone: zone.into(), ..listing(&format!("d{number}"), "desk", backend.address) };
+        listed.push(Fact::Listed(desk));
+        // The others are reached without a path, whose queue is too short for a burst.
+        if number < DARK {
+            paths.push(Path::open(backend.address));
+        }
+        backends.push(backend);
+    }
+    let store = Arc::new(FakeStore::default());
+    store.by_topic.store(true, Ordering::SeqCst);
+    store.publish(Topic::Operators, vec![Fact::Catalog(Box::new(catalog(1)))]);
+    store.publish(Topic::Endpoints, listed);
+    let addresses = backends.iter().map(|backend| backend.address);
+    let view = StoreView::new(store.clone(), &addresses.zip(&paths).collect::<Vec<_>>());
+    let peer = Harness::with_registry(settings("i1"), store.clone(), view.clone()).await;
+    let instance = Harness::with_registry(settings("i2"), store, view).await;
+    for harness in [&peer, &instance] {
+        harness.until_ready().await;
+        while !is_linked(harness).await {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+    for dark in &paths {
+        dark.set(PathState::Hung).await;
+    }
+    let calls = async {
+        let mut statuses = Vec::new();
+        while backoffs(&instance).await < DARK {
+            let burst = (0..BURST).map(|_| instance.status(Method::GET, "/look/x"));
+            statuses.extend(futures::future::join_all(burst).await);
+        }
+        // The rest of the time that the endpoints need to be probed once more.
+        sleep(Duration::from_secs(1)).await;
+        statuses
+    };
+    let statuses = timeout(Duration::from_secs(15), calls).await.expect("failures are booked");
+    // Counted rather than polled, since a cut that is not one lasts only until another endpoint is reached.
+    assert!(state(&instance).await.contains("cuts = 0\n"), "two zones are reached");
+    assert!(statuses.iter().all(|status| *status == StatusCode::OK), "{statuses:?}");
+    assert_eq!(backoffs(&instance).await, DARK, "endpoints of the other zones are in no backoff");
+}
