Learn the pace and request limit of endpoints

Cause: endpoints of a service that are slower than their published speed, and whose own report does not say so, get as much work as the others. Change: the pool compares each first event of a brief prompt and each plain response with its forecast, compares the endpoints of a service by the median, and multiplies the forecast of slow ones. Off unless set_learned_capacity is called.

--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod affinity;
 pub mod budget;
+pub mod capacity;
 pub mod catalog;
 pub mod chain;
 pub mod contract;
--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -7,6 +7,7 @@
 //! memory of an endpoint are calculated from the grants alone ([`load`]); [`place`] chooses endpoints by them.
 
 mod bulk;
+mod capacity;
 mod exchange;
 mod limits;
 mod load;
@@ -23,11 +24,13 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::capacity::Learned;
 use crate::engine::Costs;
 use crate::ids::{EndpointId, InstanceId, ModelId, ZoneId};
 use crate::rate::ColdGate;
 use crate::time::Time;
 
+pub use self::capacity::CapacityChange;
 pub use self::exchange::{Changes, Snapshot};
 pub use self::limits::{LimitReport, Permit};
 pub use self::place::{Cause, Demand, Helper, Placement, Refusal};
@@ -140,6 +143,7 @@
     pace: (f32, Time),
     /// Set if that report is this instance's own, which it sends to its peers.
     own_pace: Option<f32>,
+    learned: Learned,
 }
 
 #[derive(Debug, Default)]
@@ -162,6 +166,9 @@
     /// Grants of this instance by number.
     mine: BTreeMap<u64, Grant>,
     peers: BTreeMap<InstanceId, Peer>,
+    /// Forecasts of this instance's placements, by grant.
+    forecasts: HashMap<u64, capacity::Forecast>,
+    learning: capacity::Learning,
     /// Number of the latest grant.
     last_number: u64,
     /// Changes that were not sent to the peers yet.
@@ -222,6 +229,7 @@
             last_failure: Time::ZERO,
             pace: (1.0, Time::ZERO),
             own_pace: None,
+            learned: Learned::default(),
         });
         // An endpoint that leaves never stays after all; its entry may be that of an old copy.
         let leaving = listing.leaving || site.listing.leaving;
@@ -310,18 +318,20 @@
         }
     }
 
-    /// Records the first event of a grant.
+    /// Records the first event of a grant, or the response of a plain service.
     pub fn record_first_event(&mut self, now: Time, number: u64) {
         if let Some(grant) = self.mine.get_mut(&number)
             && grant.first.is_none()
         {
             grant.first = Some(now);
             self.unsent.started.push((number, now));
+            self.learn(now, number);
         }
     }
 
     /// Removes a grant whose request has ended.
     pub fn end_grant(&mut self, number: u64) {
+        self.forecasts.remove(&number);
         if self.mine.remove(&number).is_some() {
             self.unsent.record_end(number);
         }
@@ -377,6 +387,6 @@
 impl Site {
     fn pace(&self, now: Time) -> f64 {
         let (pace, seen) = self.pace;
-        if now.since(seen) > PACE_TTL { 1.0 } else { f64::from(pace).max(1.0) }
+        if now.since(seen) > PACE_TTL || !pace.is_finite() { 1.0 } else { f64::from(pace).max(1.0) }
     }
 }
--- a/chestnutstage_core/src/pool/place.rs
+++ b/chestnutstage_core/src/pool/place.rs
@@ -132,12 +132,19 @@
     ///
     /// Returns [`Refusal`] if no placement serves the request in time; no grant is recorded then.
     pub fn place(&mut self, now: Time, demand: &Demand<'_>) -> Result<Placement, Refusal> {
+        self.update_learned(now);
         let loads = self.loads(now);
         let (key, grant, placement) = match self.engines.get(demand.service) {
             None => self.place_plain(now, demand, &loads)?,
             Some(costs) => self.place_prompt(now, demand, costs, &loads)?,
         };
+        let inflight = loads.get(&key).map_or(0, |load| load.held) + 1;
+        let forecast = self.forecast(now, key, grant.work, inflight, placement.expected);
         self.adopt_grant(grant);
+        // A request that was tried elsewhere may resume its answer.
+        if let Some(forecast) = forecast.filter(|_| demand.tried.is_empty()) {
+            self.forecasts.insert(self.last_number, forecast);
+        }
         if let Some(site) = self.sites.get_mut(&key) {
             site.cold_gate.record(now);
         }
--- a/chestnutstage_core/src/pool/plain.rs
+++ b/chestnutstage_core/src/pool/plain.rs
@@ -1,12 +1,15 @@
 //! Placement of calls to plain services, which have few slots, short calls and tight targets.
 //!
 //! A call goes to the endpoint with the lowest ratio of assigned calls to slots, with a preference for the
-//! local zone. If all slots are taken and the queues are full, the call is refused at once.
+//! local zone. If all slots are taken and the queues are full, the call is refused at once. Where an endpoint was found
+//! slower than the others ([`crate::capacity`]), a call goes to the one with the shortest expected response instead, and is
+//! refused if none is expected within its target.
 
 use std::time::Duration;
 
 use super::load::Loads;
 use super::place::{Cause, Demand, GrantedPlacement, Placement, Refusal};
+use super::prompt::{from_millis, millis};
 use super::{Grant, Key, Part, Pool, Work};
 use crate::time::Time;
 
@@ -15,7 +18,7 @@
 /// Calls that may wait for each slot of an endpoint.
 const WAITING_PER_SLOT_MAX: u32 = 2;
 /// Expected time until a slot is free.
-const SLOT_TIME: Duration = Duration::from_millis(100);
+pub(super) const SLOT_TIME: Duration = Duration::from_millis(100);
 
 impl Pool {
     pub(super) fn place_plain(
@@ -35,13 +38,29 @@
             let zone = if remote { ZONE_COST / f64::from(site.listing.slots.max(1)) } else { 0.0 };
             fill + zone
         };
-        let best = open
-            .iter()
-            .filter(|(_, key, site)| {
-                held(key) < site.listing.slots.max(1).saturating_mul(1 + WAITING_PER_SLOT_MAX)
-            })
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        let Some((rank, key, site)) = best else {
+        let has_room = |(_, key, site): &&(usize, Key, &super::Site)| {
+            held(key) < site.listing.slots.max(1).saturating_mul(1 + WAITING_PER_SLOT_MAX)
+        };
+        let uneven = open.iter().any(|(_, _, site)| self.is_learned(now, site));
+        let response = |held: u32, site: &super::Site| {
+            let limit = self.learned_limit(now, site).max(1);
+            let turns = (f64::from(held.saturating_add(1)) / f64::from(limit)).max(1.0);
+            self.unit_ms(site) * self.pace(now, site) * turns
+        };
+        let fastest = open.iter().map(|(_, _, site)| response(0, site)).fold(f64::INFINITY, f64::min);
+        // Where even an idle endpoint would be too late for the target, the caller's timeout counts.
+        let target = if fastest > millis(demand.first) { demand.remaining } else { demand.first };
+        let best = if uneven {
+            open.iter()
+                .filter(has_room)
+                .map(|o| (response(held(&o.1), o.2), o))
+                .filter(|(ms, _)| *ms <= millis(target))
+                .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| cost(a.1).total_cmp(&cost(b.1))))
+        } else {
+            let best = open.iter().filter(has_room).min_by(|a, b| cost(a).total_cmp(&cost(b)));
+            best.map(|o| (millis(SLOT_TIME), o))
+        };
+        let Some((expected_ms, (rank, key, site))) = best else {
             return Err(Refusal::new(Cause::NoSlot, SLOT_TIME, demand.jitter));
         };
         let part = Part { endpoint: *key, read: 0.0, memory: 0, context: 0 };
@@ -61,7 +80,7 @@
             reserve: 0,
             helpers: Vec::new(),
             ranks: vec![*rank],
-            expected: SLOT_TIME,
+            expected: from_millis(expected_ms),
         };
         Ok((*key, grant, placement))
     }
--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -78,6 +78,8 @@
     pub(super) rank: usize,
     /// Observed time divided by published time.
     pub(super) pace: f64,
+    /// Learned limit of requests in flight.
+    pub(super) limit: u32,
     /// Length of a pass with one more request and without prefill, in milliseconds.
     pub(super) pass_ms: f64,
     /// Number between zero and one that differs by instance, so that instances choosing at the same time
@@ -132,7 +134,8 @@
                     site,
                     load,
                     rank,
-                    pace: site.pace(now),
+                    pace: self.pace(now, site),
+                    limit: self.learned_limit(now, site),
                     pass_ms,
                     instance_bias,
                     request_bias,
@@ -206,7 +209,7 @@
 }
 
 /// Time of `ms` milliseconds; one that is too long or no number is as long as the longest.
-fn from_millis(ms: f64) -> Duration {
+pub(super) fn from_millis(ms: f64) -> Duration {
     Duration::try_from_secs_f64(ms / 1e3).map_or(SPAN_MAX, |span| span.min(SPAN_MAX))
 }
 
@@ -256,6 +259,7 @@
 
     pub(super) fn has_slot(&self, candidate: &Candidate<'_>) -> bool {
         candidate.load.held + SPARE_SLOTS < candidate.site.listing.slots.min(self.costs.slots).max(2)
+            && candidate.load.held < candidate.limit
     }
 
     pub(super) fn free_memory(&self, candidate: &Candidate<'_>) -> u64 {
