--- a/chestnutstage_core/src/capacity.rs
+++ b/chestnutstage_core/src/capacity.rs
@@ -51,6 +51,9 @@
 const PACE_FORGOTTEN: f64 = 1.1;
 /// Interval at which a limit grows by one request.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after the latest confirmation of a slowdown from which a single request may try the endpoint; longer than
+/// confirmations take to reach the other planners.
+const TRIAL_DELAY: Duration = Duration::from_secs(2);
 /// Bins for each doubling of the ratio; four tell a slowdown of 1.5 from none.
 const BINS_PER_OCTAVE: f64 = 4.0;
 /// Octaves of the scale on each side of ratio one.
@@ -265,6 +268,11 @@
         if pace < PACE_FORGOTTEN { 1.0 } else { pace }
     }
 
+    /// Slowdown to expect of a request that tries the endpoint; `None` while no trial is due.
+    pub fn trial(&self, now: Time) -> Option<f64> {
+        (self.pace(now) > 1.0 && now.since(self.confirmed) > TRIAL_DELAY).then_some(self.slowdown)
+    }
+
     /// Requests in flight that it serves well, at most `slots`.
     pub fn limit(&self, now: Time, slots: u32) -> u32 {
         let grown = |since: Time| (now.since(since).as_secs_f64() / TRIAL_INTERVAL.as_secs_f64()) as u32;
--- a/chestnutstage_core/src/pool/capacity.rs
+++ b/chestnutstage_core/src/pool/capacity.rs
@@ -118,6 +118,11 @@
             && (site.learned.pace(now) > 1.0 || self.learned_limit(now, site) < site.listing.slots)
     }
 
+    /// Slowdown to expect of a request that tries a slow endpoint; `None` while no trial is due.
+    pub(super) fn trial(&self, now: Time, site: &Site) -> Option<f64> {
+        site.learned.trial(now).filter(|_| self.learning.enabled)
+    }
+
     /// Response time of a plain service's other endpoints, in milliseconds.
     pub(super) fn unit_ms(&self, site: &Site) -> f64 {
         millis(SLOT_TIME) * site.learned.reference().unwrap_or(1.0)
--- a/chestnutstage_core/src/pool/plain.rs
+++ b/chestnutstage_core/src/pool/plain.rs
@@ -50,19 +50,25 @@
         let fastest = open.iter().map(|(_, _, site)| response(0, site)).fold(f64::INFINITY, f64::min);
         // Where even an idle endpoint would be too late for the target, the caller's timeout counts.
         let target = if fastest > millis(demand.first) { demand.remaining } else { demand.first };
+        // An idle endpoint that may be fast again is tried with one call, if that is in time even if it is not.
+        let is_trial = |(_, key, site): &(usize, Key, &super::Site)| {
+            held(key) == 0
+                && self.trial(now, site).is_some_and(|pace| self.unit_ms(site) * pace <= millis(demand.first))
+        };
         let best = if uneven {
             open.iter()
                 .filter(has_room)
-                .map(|o| (response(held(&o.1), o.2), o))
+                .map(|o| (if is_trial(o) { 0.0 } else { response(held(&o.1), o.2) }, o))
                 .filter(|(ms, _)| *ms <= millis(target))
                 .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| cost(a.1).total_cmp(&cost(b.1))))
+                .map(|(_, o)| o)
         } else {
-            let best = open.iter().filter(has_room).min_by(|a, b| cost(a).total_cmp(&cost(b)));
-            best.map(|o| (millis(SLOT_TIME), o))
+            open.iter().filter(has_room).min_by(|a, b| cost(a).total_cmp(&cost(b)))
         };
-        let Some((expected_ms, (rank, key, site))) = best else {
+        let Some((rank, key, site)) = best else {
             return Err(Refusal::new(Cause::NoSlot, SLOT_TIME, demand.jitter));
         };
+        let expected = if uneven { from_millis(response(held(key), site)) } else { SLOT_TIME };
         let part = Part { endpoint: *key, read: 0.0, memory: 0, context: 0 };
         let grant = Grant {
             work: Work::Plain,
@@ -80,7 +86,7 @@
             reserve: 0,
             helpers: Vec::new(),
             ranks: vec![*rank],
-            expected: from_millis(expected_ms),
+            expected,
         };
         Ok((*key, grant, placement))
     }
--- a/chestnutstage_core/tests/common/engines.rs
+++ b/chestnutstage_core/tests/common/engines.rs
@@ -40,6 +40,8 @@
     /// Requests whose parts are all prefilled.
     ready: Vec<usize>,
     busy_until: f64,
+    /// Factor by which its passes take longer than published, if above one.
+    pub slowdown: f64,
     pending: Vec<Event>,
 }
 
@@ -65,7 +67,7 @@
         if self.jobs.is_empty() {
             return events;
         }
-        self.busy_until = now + self.pass();
+        self.busy_until = now + self.pass() * self.slowdown.max(1.0);
         events
     }
 
