Use learned capacities in the gateway

Cause: the pool learns only from events that it is told, and planners don't know each other's observations. Change: the successful response of a plain call is reported to its planner with the message of the first event; planners send their observations with the full state, as section 1.

--- a/chestnutstage_core/src/pool/capacity.rs
+++ b/chestnutstage_core/src/pool/capacity.rs
@@ -9,7 +9,7 @@
 
 use super::plain::SLOT_TIME;
 use super::prompt::millis;
-use super::{Key, Pool, Site, Work};
+use super::{Key, Listing, Pool, Site, Work};
 use crate::capacity::{self, CapacityReport, Observation, PaceChange, REPORTED_MAX};
 use crate::ids::{EndpointId, ModelId};
 use crate::time::Time;
@@ -89,9 +89,9 @@
     }
 
     /// Endpoints with a learned limit below their slots, each with the limit.
-    pub fn learned_limits(&self, now: Time) -> impl Iterator<Item = (&EndpointId, u32)> {
+    pub fn learned_limits(&self, now: Time) -> impl Iterator<Item = (&Listing, u32)> {
         let limits = self.sites.values().map(move |s| (s, self.learned_limit(now, s)));
-        limits.filter(|(s, limit)| *limit < s.listing.slots).map(|(s, limit)| (&s.listing.id, limit))
+        limits.filter(|(s, limit)| *limit < s.listing.slots).map(|(s, limit)| (&s.listing, limit))
     }
 
     /// Learned pace of an endpoint; one if it is unknown or not slower than the others.
@@ -124,7 +124,7 @@
     }
 
     /// Response time of a plain service's other endpoints, in milliseconds.
-    pub(super) fn unit_ms(&self, site: &Site) -> f64 {
+    pub(super) fn unit_ms(site: &Site) -> f64 {
         millis(SLOT_TIME) * site.learned.reference().unwrap_or(1.0)
     }
 
--- a/chestnutstage_core/src/pool/plain.rs
+++ b/chestnutstage_core/src/pool/plain.rs
@@ -45,7 +45,7 @@
         let response = |held: u32, site: &super::Site| {
             let limit = self.learned_limit(now, site).max(1);
             let turns = (f64::from(held.saturating_add(1)) / f64::from(limit)).max(1.0);
-            self.unit_ms(site) * self.pace(now, site) * turns
+            Self::unit_ms(site) * self.pace(now, site) * turns
         };
         let fastest = open.iter().map(|(_, _, site)| response(0, site)).fold(f64::INFINITY, f64::min);
         // Where even an idle endpoint would be too late for the target, the caller's timeout counts.
@@ -53,7 +53,7 @@
         // An idle endpoint that may be fast again is tried with one call, if that is in time even if it is not.
         let is_trial = |(_, key, site): &(usize, Key, &super::Site)| {
             held(key) == 0
-                && self.trial(now, site).is_some_and(|pace| self.unit_ms(site) * pace <= millis(demand.first))
+                && self.trial(now, site).is_some_and(|pace| Self::unit_ms(site) * pace <= millis(demand.first))
         };
         let best = if uneven {
             open.iter()
--- a/chestnutstage_core/tests/learned_capacity.rs
+++ b/chestnutstage_core/tests/learned_capacity.rs
@@ -155,7 +155,9 @@
     for n in 0..40 {
         let now = at(1_000 + n * 100);
         for pace in [f32::NAN, f32::INFINITY, f32::NEG_INFINITY, -1.0, 0.0, 1e308_f64 as f32] {
-            engines.iter().for_each(|key| told.set_pace(now, *key, pace));
+            for key in &engines {
+                told.set_pace(now, *key, pace);
+            }
             told.apply_capacity_reports(
                 now,
                 &[CapacityReport { endpoint: unknown, tallies: tallies.clone() }],
@@ -363,7 +365,7 @@
     let later = run_calls(&mut pool, 14_000, 200, slow_desk);
     let slow = later.iter().filter(|p| p.listing.id.as_str() == "d0").count();
     assert!(slow <= 10, "{slow} of 200 on the slow endpoint");
-    assert!(pool.learned_limits(at(18_000)).all(|(id, _)| id.as_str() == "d0"));
+    assert!(pool.learned_limits(at(18_000)).all(|(listing, _)| listing.id.as_str() == "d0"));
     let changes = pool.take_capacity_changes();
     assert!(changes.iter().all(|c| c.endpoint.as_str() == "d0"), "{changes:?}");
     assert!(changes[0].change.pace >= 1.5 && changes[0].change.observations >= 8, "{changes:?}");
@@ -412,7 +414,9 @@
     for n in 0..150 {
         numbers.push(pool.place(at(1_000 + n), &demand(&"wide".into(), 0)).unwrap().number);
     }
-    numbers.iter().for_each(|number| pool.record_first_event(at(1_200), *number));
+    for number in &numbers {
+        pool.record_first_event(at(1_200), *number);
+    }
     let mut reported: Vec<Key> = Vec::new();
     for n in 0..3 {
         let reports = pool.take_capacity_reports(at(1_300 + n));
--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -295,9 +295,18 @@
                 upstream.address
             ));
         }
+        if status.is_success() && self.calls_plain_service() {
+            upstream.grant.record_first_event();
+        }
         Attempt::Responded(Box::new(upstream))
     }
 
+    fn calls_plain_service(&self) -> bool {
+        let directory = self.shared.store_cache.directory();
+        let service = directory.as_ref().and_then(|d| d.catalog().services.get(&self.service));
+        service.is_some_and(|service| service.engine.is_none())
+    }
+
     /// Reports a failure of the endpoint or helper that prevented a request from running.
     async fn report_refusal(&self, key: Key, failed_helper: Option<SocketAddr>, status: StatusCode) {
         histogram!("chestnutstage_refused_by_endpoint", "status" => status.as_u16().to_string()).record(1.0);
--- a/chestnutstage_gateway/src/conversation.rs
+++ b/chestnutstage_gateway/src/conversation.rs
@@ -50,7 +50,7 @@
     CallEngine(Key, EngineCall),
 }
 
-/// Sent on the stream of a grant when the first event has arrived.
+/// Sent on the stream of a grant when the first event, or the response of a plain service, has arrived.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct FirstEventArrived;
 
--- a/chestnutstage_gateway/src/dispatcher.rs
+++ b/chestnutstage_gateway/src/dispatcher.rs
@@ -1,12 +1,13 @@
 //! The actor that owns the pool. It supplies the current time; all decisions are made by the pool.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use chestnutstage_core::capacity::CapacityReport;
 use chestnutstage_core::catalog::Directory;
 use chestnutstage_core::ids::{EndpointId, InstanceId, ModelId, ZoneId};
 use chestnutstage_core::pool::{
@@ -15,12 +16,14 @@
 use chestnutstage_core::time::Time;
 use kameo::Actor;
 use kameo::message::{Context, Message};
+use log::info;
+use metrics::gauge;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::external::{Fact, LoadReport};
-use crate::settings::Bounds;
+use crate::settings::{Bounds, Settings};
 
 /// Actor that owns the pool of endpoints.
 #[derive(Actor)]
@@ -31,12 +34,47 @@
     granted: Arc<Notify>,
     /// Whether any endpoint limits its requests.
     limits_known: Arc<AtomicBool>,
+    /// Slots of the endpoints whose learned limit is below them.
+    learned_below: BTreeMap<EndpointId, u32>,
 }
 
 impl Dispatcher {
-    /// Creates the dispatcher of an instance in `zone`; `granted` is notified of each new grant.
-    pub(crate) fn new(zone: ZoneId, clock: Clock, bounds: Bounds, granted: Arc<Notify>) -> Self {
-        Self { pool: Pool::new(zone, rand::random()), clock, bounds, granted, limits_known: Arc::default() }
+    /// Creates the dispatcher of an instance; `granted` is notified of each new grant.
+    pub(crate) fn new(settings: &Settings, clock: Clock, granted: Arc<Notify>) -> Self {
+        let mut pool = Pool::new(settings.instance.zone.clone(), rand::random());
+        pool.set_learned_capacity(settings.placement.learned_capacity);
+        Self {
+            pool,
+            clock,
+            bounds: settings.bounds.clone(),
+            granted,
+            limits_known: Arc::default(),
+            learned_below: BTreeMap::new(),
+        }
+    }
+
+    /// Reports what has changed in the learned capacities.
+    fn report_learned(&mut self, now: Time) {
+        for changed in self.pool.take_capacity_changes() {
+            let change = changed.change;
+            info!(
+                endpoint:% = changed.endpoint, pace = change.pace, limit = change.limit,
+                observations = change.observations, age_ms = change.age.as_millis() as u64;
+                "learned pace of an endpoint has changed"
+            );
+        }
+        let limits: Vec<_> =
+            self.pool.learned_limits(now).map(|(l, limit)| (l.id.clone(), l.slots, limit)).collect();
+        for (id, slots) in std::mem::take(&mut self.learned_below) {
+            if !limits.iter().any(|(below, ..)| *below == id) {
+                // An exported gauge can't be removed; its endpoint is no longer limited below its slots.
+                gauge!("chestnutstage_learned_limit", "endpoint" => id.to_string()).set(f64::from(slots));
+            }
+        }
+        for (id, slots, limit) in limits {
+            gauge!("chestnutstage_learned_limit", "endpoint" => id.to_string()).set(f64::from(limit));
+            self.learned_below.insert(id, slots);
+        }
     }
 
     /// Flag that tells without a message whether any endpoint limits its requests.
@@ -141,7 +179,7 @@
     }
 }
 
-/// Reports the first event of a grant.
+/// Reports the first event of a grant, or the response of a plain service.
 pub(crate) struct FirstEvent(pub(crate) u64);
 
 impl Message<FirstEvent> for Dispatcher {
@@ -415,6 +453,30 @@
     }
 }
 
+/// Takes this planner's observations of endpoints since the last call, and reports what was learned.
+pub(crate) struct TakeCapacities;
+
+impl Message<TakeCapacities> for Dispatcher {
+    type Reply = Vec<CapacityReport>;
+
+    async fn handle(&mut self, _: TakeCapacities, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.clock.now();
+        self.report_learned(now);
+        self.pool.take_capacity_reports(now)
+    }
+}
+
+/// Applies a planner's observations of endpoints.
+pub(crate) struct ApplyCapacities(pub(crate) Vec<CapacityReport>);
+
+impl Message<ApplyCapacities> for Dispatcher {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: ApplyCapacities, _: &mut Context<Self, Self::Reply>) {
+        self.pool.apply_capacity_reports(self.clock.now(), &msg.0);
+    }
+}
+
 /// Records a load report of an engine.
 pub(crate) struct LoadReported(pub(crate) Key, pub(crate) LoadReport);
 
--- a/chestnutstage_gateway/src/gateway.rs
+++ b/chestnutstage_gateway/src/gateway.rs
@@ -122,8 +122,7 @@
             ListenAddresses { callers: local_address(&callers)?, checks: local_address(&checks)? };
         let clock = Clock::start();
         let granted = Arc::new(Notify::new());
-        let dispatcher =
-            Dispatcher::new(settings.instance.zone.clone(), clock, settings.bounds.clone(), granted.clone());
+        let dispatcher = Dispatcher::new(&settings, clock, granted.clone());
         let limits_known = dispatcher.limits_known();
         let dispatcher = Dispatcher::spawn_with_mailbox(dispatcher, mailbox::unbounded());
         let incarnation = format!("{}-{:08x}", settings.instance.name, rand::random::<u32>());
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chestnutstage_core::capacity::CapacityReport;
 use chestnutstage_core::ids::{InstanceId, ZoneId};
 use chestnutstage_core::rendezvous;
 use chestnutstage_core::time::Time;
@@ -22,12 +23,12 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::conversation::Conversation;
-use crate::dispatcher::{CountGrants, PeerLeft, PeerUpdate, TakeUpdate};
+use crate::dispatcher::{ApplyCapacities, CountGrants, PeerLeft, PeerUpdate, TakeCapacities, TakeUpdate};
 
 use crate::external::{Member, Topic};
 use crate::identity::{CERTIFICATE_NAME, LinkError, configs};
 use crate::peer_message::{Extension, PeerMessage, State, decode, encode, send};
-use crate::sections::Sections;
+use crate::sections::{Sections, Tag};
 use crate::shared::Shared;
 
 /// Timeout of a connection attempt: a peer that starts at the same time may not listen yet, and QUIC retransmits its
@@ -293,7 +294,7 @@
     }
 
     async fn apply_state(self: &Arc<Self>, message: PeerMessage, connection: &Connection, first: bool) {
-        let PeerMessage { echo, state, extension, sections: _ } = message;
+        let PeerMessage { echo, state, extension, sections } = message;
         {
             let mut links = self.lock();
             let known = links.get(&state.id);
@@ -323,6 +324,11 @@
             self.send_state(&state.id, connection).await;
         }
         self.shared.apply_quarantine(&state.quarantine);
+        if let Some(reports) = sections.get::<Vec<CapacityReport>>(Tag::Capacities)
+            && self.shared.dispatcher.tell(ApplyCapacities(reports)).await.is_err()
+        {
+            warn!("dispatcher has stopped; capacities that a peer learned dropped");
+        }
         // The peer wrote this state after it had received the message sent from here at `echo`, so its rules were current
         // at that time less their age, regardless of transit times and clock offsets.
         let rules_time = echo.map(|echo| echo - state.rules_age);
@@ -355,8 +361,8 @@
         self.shared.store_cache.set_store_watch(watching);
     }
 
-    /// Encodes the state with these grants and, if `marked`, with what is known of the store.
-    async fn encode_state(&self, grants: GrantContent, marked: bool) -> Option<Bytes> {
+    /// Encodes the state with these grants and sections and, if `marked`, with what is known of the store.
+    async fn encode_state(&self, grants: GrantContent, marked: bool, sections: &Sections) -> Option<Bytes> {
         let complete = grants == GrantContent::All;
         let all_reports = grants != GrantContent::Changes;
         let grants = match grants {
@@ -378,7 +384,7 @@
             quarantine: if marked { self.shared.quarantine_reports(all_reports) } else { Vec::new() },
         };
         let extension = Extension { cut_off: self.shared.is_cut_off() };
-        match encode(&state, &extension, &Sections::default()) {
+        match encode(&state, &extension, sections) {
             Ok(bytes) => Some(bytes),
             Err(e) => {
                 warn!("state for the peers can't be encoded and is not sent: {e}");
@@ -399,7 +405,7 @@
         let planners = self.shared.store_cache.planners();
         let is_between_planners = planners.contains(self.own_id()) && planners.contains(peer);
         let grants = if is_between_planners { GrantContent::All } else { GrantContent::None };
-        if let Some(message) = self.encode_state(grants, true).await {
+        if let Some(message) = self.encode_state(grants, true, &Sections::default()).await {
             send(connection, self.echo(connection), &message);
         }
     }
@@ -425,7 +431,14 @@
             return;
         }
         // Changes are taken even if nobody is linked, so that they don't accumulate.
-        let Some(message) = self.encode_state(grants, marked).await else { return };
+        let mut sections = Sections::default();
+        if grants == GrantContent::All {
+            let reports = self.shared.dispatcher.ask(TakeCapacities).await.unwrap_or_default();
+            if !reports.is_empty() {
+                sections.set(Tag::Capacities, &reports);
+            }
+        }
+        let Some(message) = self.encode_state(grants, marked, &sections).await else { return };
         counter!("chestnutstage_states_sent_total").increment(connections.len() as u64);
         counter!("chestnutstage_state_bytes_total").increment((connections.len() * message.len()) as u64);
         for (connection, echo) in &connections {
--- a/chestnutstage_gateway/src/placer.rs
+++ b/chestnutstage_gateway/src/placer.rs
@@ -59,7 +59,7 @@
 }
 
 impl GrantGuard {
-    /// Records that the first event of the response has arrived.
+    /// Records that the first event of the response, or the response of a plain service, has arrived.
     pub(crate) fn record_first_event(&self) {
         let recorded = match self {
             Self::Local { shared, number } => shared.dispatcher.tell(FirstEvent(*number)).try_send().is_ok(),
--- a/chestnutstage_gateway/src/settings.rs
+++ b/chestnutstage_gateway/src/settings.rs
@@ -24,6 +24,9 @@
     /// Limits that the deployment sets.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Placement of requests.
+    #[serde(default)]
+    pub placement: PlacementSettings,
 }
 
 /// Identity of the instance.
@@ -78,6 +81,20 @@
     pub address: SocketAddr,
 }
 
+/// Placement of requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlacementSettings {
+    /// Whether placements follow what the planners learn of the endpoints' pace.
+    pub learned_capacity: bool,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        Self { learned_capacity: true }
+    }
+}
+
 /// Limits that the deployment sets.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
