--- a/chestnutstage_core/src/pool/plain.rs
+++ b/chestnutstage_core/src/pool/plain.rs
@@ -53,7 +53,9 @@
         // An idle endpoint that may be fast again is tried with one call, if that is in time even if it is not.
         let is_trial = |(_, key, site): &(usize, Key, &super::Site)| {
             held(key) == 0
-                && self.trial(now, site).is_some_and(|pace| Self::unit_ms(site) * pace <= millis(demand.first))
+                && self
+                    .trial(now, site)
+                    .is_some_and(|pace| Self::unit_ms(site) * pace <= millis(demand.first))
         };
         let best = if uneven {
             open.iter()
