Don't bind placements by a limit where none was learned

Cause: an engine listed with no slots got no request, since its learned limit, at most its slots, was zero (odd_endpoints, extreme_engines). Change: the limit counts only where it is below the slots. Result: extreme_engines and the new test few_slots pass.

--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -259,7 +259,7 @@
 
     pub(super) fn has_slot(&self, candidate: &Candidate<'_>) -> bool {
         candidate.load.held + SPARE_SLOTS < candidate.site.listing.slots.min(self.costs.slots).max(2)
-            && candidate.load.held < candidate.limit
+            && (candidate.limit >= candidate.site.listing.slots || candidate.load.held < candidate.limit)
     }
 
     pub(super) fn free_memory(&self, candidate: &Candidate<'_>) -> u64 {
--- a/chestnutstage_core/tests/learned_capacity.rs
+++ b/chestnutstage_core/tests/learned_capacity.rs
@@ -427,3 +427,18 @@
     reported.dedup();
     assert_eq!(reported.len(), 150);
 }
+
+/// Guards against a learned limit that binds where nothing was learned: an engine may be listed with few slots or none.
+#[test]
+fn few_slots() {
+    for slots in [0, 1, 2, u32::MAX] {
+        let [without, with] = [false, true].map(|learned| {
+            let mut pool = pool(learned);
+            pool.set_service("few".into(), Some(COSTS), 0.0);
+            pool.update_listing(at(0), listing("f0", "few", slots));
+            (0..4).map(|n| pool.place(at(n), &demand(&"few".into(), 100))).collect::<Vec<_>>()
+        });
+        assert!(without[0].is_ok());
+        assert_eq!(without, with, "{slots} slots");
+    }
+}
