--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod affinity;
 pub mod budget;
+pub mod capacity;
 pub mod catalog;
 pub mod chain;
 pub mod contract;
@@ -42,8 +43,8 @@
 pub mod route;
 pub mod stream;
 pub mod time;
-pub mod waiting;
 pub mod turns;
+pub mod waiting;
 pub mod window;
 
 pub use endpoint_state::Service;
