Check of a catalog, offline, before it is published

Cause: entries that can't match, limits that contradict each other and values that decoding replaces were noticed only in operation.

Ruled out: a check in chestnutctl itself, which would need the platform's words outside platform/.

--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod affinity;
 pub mod budget;
 pub mod catalog;
+pub mod catalog_check;
 pub mod chain;
 pub mod contract;
 pub mod decision;
