chestnutctl check: exceptions, differences, all findings at once

Cause: `check` stopped at the first value out of range, knew no exceptions, and could not be run against other defaults offline.

Ruled out: exit code 1 for differences alone, since a script could then not tell an intended change from a fault.

Change: findings of the same form as those of the catalog check; `--exceptions FILE` and `--against FILE`. Defaults out of range now end with 1 (findings), a file that can't be read with 2; before it was the other way round.

--- a/chestnutctl/src/cli.rs
+++ b/chestnutctl/src/cli.rs
@@ -60,11 +60,8 @@
     /// Query a gateway instance; `--address` must point to its checks address.
     #[command(subcommand)]
     Gateway(Gateway),
-    /// Check a settings or defaults file, offline.
-    Check {
-        /// File to check.
-        file: PathBuf,
-    },
+    /// Check a settings or defaults file, offline; the exit code is 1 after findings, and 2 if a file can't be read.
+    Check(CheckArgs),
     /// Create certificates for instances, and the fleet's certificate authority if the folder has none.
     Certs {
         /// Folder for the PEM files.
@@ -229,6 +226,18 @@
     },
 }
 
+#[derive(Debug, Args)]
+pub(crate) struct CheckArgs {
+    /// File to check.
+    pub(crate) file: PathBuf,
+    /// File with the exceptions by name, checked beside the defaults.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) exceptions: Option<PathBuf>,
+    /// File with the defaults in force: also show what differs; differences are no findings.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) against: Option<PathBuf>,
+}
+
 #[derive(Debug, Args)]
 pub(crate) struct ChangeArgs {
     /// Reason for the change, for operators in the other office.
--- a/chestnutctl/src/commands.rs
+++ b/chestnutctl/src/commands.rs
@@ -7,7 +7,6 @@
 use chestnutstage_config::fleet::{Change, Customer, Defaults as FleetDefaults, Exception, Rule};
 use chestnutstage_config::key::KeyHash;
 use chestnutstage_config::load;
-use chestnutstage_config::settings::Settings;
 use chestnutstage_core::length::Tokens;
 use chestnutstage_core::window::{Capacity, Load};
 use clap::CommandFactory;
@@ -15,6 +14,7 @@
 use serde_json::Value;
 
 use crate::certs;
+use crate::check::check;
 use crate::cli::{ChangeArgs, Cli, Command, Customers, Defaults, Exceptions, Gateway, RuleArgs, Service};
 use crate::client::Client;
 use crate::error::CtlError;
@@ -34,7 +34,7 @@
         Command::State { instance } => print_json(&context.client.state(&instance).await?),
         Command::Explain { request } => context.explain(&request).await,
         Command::Gateway(command) => context.gateway(&command).await,
-        Command::Check { file } => check(&file),
+        Command::Check(args) => check(&args, context.json),
         Command::Certs { out, instances } => certs::create(&out, &instances),
         Command::HashKey => {
             println!("{}", KeyHash::of(&read_key()?));
@@ -360,7 +360,7 @@
     }
 }
 
-fn print_json<T: Serialize + ?Sized>(value: &T) -> Result<(), CtlError> {
+pub(crate) fn print_json<T: Serialize + ?Sized>(value: &T) -> Result<(), CtlError> {
     let text = serde_json::to_string_pretty(value).map_err(|e| CtlError::Input(e.to_string()))?;
     println!("{text}");
     Ok(())
@@ -390,25 +390,6 @@
     }
 }
 
-/// Checks a settings or defaults file; one with an `[instance]` or `[platform]` table is read as settings.
-fn check(file: &Path) -> Result<(), CtlError> {
-    let text = fs::read_to_string(file).map_err(|source| CtlError::File {
-        step: "read",
-        path: file.to_owned(),
-        source,
-    })?;
-    let table: toml::Table = load::parse(&text, file)?;
-    if table.contains_key("instance") || table.contains_key("platform") {
-        Settings::load(file)?;
-        println!("{}: the settings are valid", file.display());
-        return Ok(());
-    }
-    let defaults: FleetDefaults = load::parse(&text, file)?;
-    defaults.check().map_err(|e| CtlError::Input(format!("{}: {e}", file.display())))?;
-    println!("{}: the defaults are valid", file.display());
-    Ok(())
-}
-
 fn man(out: &Path) -> Result<(), CtlError> {
     clap_mangen::generate_to(Cli::command(), out).map_err(|source| CtlError::File {
         step: "write",
--- a/chestnutctl/src/error.rs
+++ b/chestnutctl/src/error.rs
@@ -50,6 +50,14 @@
         /// Instances that have not acknowledged it.
         missing: String,
     },
+    /// A check found faults.
+    #[error("{path}: {count} findings", path = path.display())]
+    Findings {
+        /// The file.
+        path: PathBuf,
+        /// Number of faults.
+        count: usize,
+    },
     /// Certificates can't be created.
     #[error("cannot create certificates: {0}")]
     Certificate(#[from] rcgen::Error),
--- a/chestnutctl/src/main.rs
+++ b/chestnutctl/src/main.rs
@@ -1,6 +1,7 @@
 //! Command-line tool for operators of a fleet.
 
 mod certs;
+mod check;
 mod cli;
 mod client;
 mod commands;
