Estimates, placement rates and turns for late callers

The gateway needs the kind and the amount of a request's work before it is placed, and the rate of a group for turns. A turn after the caller's target takes one slot in three, a quarter of the placement rate, so that newcomers that can still be in time get most of the capacity; turns within the target keep three quarters. Tests of the turns pass a target that never ends, which gives the shares as before.

Tests of the crate pass.

--- a/chestnutstage_core/src/lib.rs
+++ b/chestnutstage_core/src/lib.rs
@@ -42,8 +42,8 @@
 pub mod route;
 pub mod stream;
 pub mod time;
-pub mod waiting;
 pub mod turns;
+pub mod waiting;
 pub mod window;
 
 pub use endpoint_state::Service;
--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -7,6 +7,7 @@
 //! memory of an endpoint are calculated from the grants alone ([`load`]); [`place`] chooses endpoints by them.
 
 mod bulk;
+mod estimate;
 mod exchange;
 mod limits;
 mod load;
@@ -29,6 +30,7 @@
 use crate::rate::ColdGate;
 use crate::time::Time;
 
+pub use self::estimate::Estimate;
 pub use self::exchange::{Changes, Snapshot};
 pub use self::limits::{LimitReport, Permit};
 pub use self::place::{Cause, Demand, Helper, Placement, Refusal};
--- a/chestnutstage_core/src/pool/plain.rs
+++ b/chestnutstage_core/src/pool/plain.rs
@@ -15,7 +15,7 @@
 /// Calls that may wait for each slot of an endpoint.
 const WAITING_PER_SLOT_MAX: u32 = 2;
 /// Expected time until a slot is free.
-const SLOT_TIME: Duration = Duration::from_millis(100);
+pub(super) const SLOT_TIME: Duration = Duration::from_millis(100);
 
 impl Pool {
     pub(super) fn place_plain(
--- a/chestnutstage_core/src/pool/prompt.rs
+++ b/chestnutstage_core/src/pool/prompt.rs
@@ -170,8 +170,8 @@
 }
 
 /// Classifies a prompt: it is bulk if its prefill on one engine would stall the requests that decode there.
-fn classify(costs: &Costs, demand: &Demand<'_>) -> Work {
-    let pass_ms = costs.pass_ms(slot_share(costs, BRIEF_SLOTS_PREFERRED), 0);
+pub(super) fn classify(costs: &Costs, demand: &Demand<'_>) -> Work {
+    let pass_ms = preferred_pass_ms(costs);
     let alone = costs.prefill_ms(demand.tokens, 1);
     let stalls = alone + pass_ms > millis(demand.gap).max(2.0 * pass_ms);
     if stalls || alone > BRIEF_PREFILL_PASSES_MAX * pass_ms { Work::Bulk } else { Work::Brief }
@@ -202,6 +202,11 @@
     (backlog / (engines * BULK_BACKLOG_FULL_MS)).min(1.0)
 }
 
+/// Length of a pass of an engine that holds as many brief requests as preferred, in milliseconds.
+pub(super) fn preferred_pass_ms(costs: &Costs) -> f64 {
+    costs.pass_ms(slot_share(costs, BRIEF_SLOTS_PREFERRED), 0)
+}
+
 fn slot_share(costs: &Costs, part: f64) -> u32 {
     ((f64::from(costs.slots) * part) as u32).max(1)
 }
@@ -211,7 +216,7 @@
 }
 
 /// Time of `ms` milliseconds; one that is too long or no number is as long as the longest.
-fn from_millis(ms: f64) -> Duration {
+pub(super) fn from_millis(ms: f64) -> Duration {
     Duration::try_from_secs_f64(ms / 1e3).map_or(SPAN_MAX, |span| span.min(SPAN_MAX))
 }
 
@@ -292,7 +297,7 @@
             .map(|c| (score(c), c))
             .min_by(|a, b| a.0.0.total_cmp(&b.0.0));
         let Some(((_, first_ms), c)) = best else {
-            let wait = self.costs.pass_ms(slot_share(self.costs, BRIEF_SLOTS_PREFERRED), 0) * 8.0;
+            let wait = preferred_pass_ms(self.costs) * 8.0;
             return Err(Refusal::new(Cause::NoSlot, from_millis(wait), demand.jitter));
         };
         if first_ms > millis(demand.remaining) {
--- a/chestnutstage_core/src/turns.rs
+++ b/chestnutstage_core/src/turns.rs
@@ -17,6 +17,9 @@
 
 /// Share of the placement rate that is issued as turns; the rest serves newcomers.
 pub const ISSUED_SHARE: f64 = 0.75;
+/// Of the slots, one in this number may go to a caller whose target has passed by then: a quarter of the placement rate.
+/// An answer after its target helps its caller far less than one to a newcomer that is still in time.
+const LATE_INTERVAL: u64 = 3;
 /// Shortest delay, unless a third of the caller's remaining time is shorter.
 pub const DELAY_MIN: Duration = Duration::from_millis(300);
 /// Longest delay.
@@ -151,7 +154,7 @@
     /// Returns the delay after which a refused caller is to return, and keeps a turn for it then if one is free. A caller that
     /// holds a turn keeps it.
     ///
-    /// `remaining` is the time until the caller's timeout, `rate` the measured placement rate of the group in requests a second,
+    /// `in_time` is the time until the caller's target, `remaining` that until its timeout, `rate` the measured placement rate of the group in requests a second,
     /// `jitter` a random number between zero and one.
     #[expect(clippy::too_many_arguments, reason = "independent properties of one refusal")]
     pub fn reserve(
@@ -160,6 +163,7 @@
         group: &Group,
         rank: u8,
         digest: Feature,
+        in_time: Duration,
         remaining: Duration,
         rate: f64,
         jitter: f64,
@@ -174,7 +178,7 @@
             }
             self.remove(digest);
         }
-        if let Some(due) = self.free_slot(now, group, rank, longest, rate) {
+        if let Some(due) = self.free_slot(now, group, rank, in_time, longest, rate) {
             if let Some(slots) = self.groups.get_mut(group) {
                 slots.turns.insert(due, rank);
             }
@@ -338,6 +342,7 @@
         now: Time,
         group: &Group,
         rank: u8,
+        in_time: Duration,
         longest: Duration,
         rate: f64,
     ) -> Option<Time> {
@@ -352,7 +357,7 @@
         if !(slots.rate / RATE_CHANGE..=slots.rate * RATE_CHANGE).contains(&rate) {
             slots.rate = rate;
         }
-        slots.free(now + DELAY_MIN, now + longest, now, rank)
+        slots.free(now + DELAY_MIN, now + longest, now + in_time, now, rank)
     }
 
     fn insert(&mut self, digest: Feature, turn: Turn) {
@@ -402,7 +407,7 @@
 }
 
 impl Slots {
-    fn free(&self, earliest: Time, latest: Time, now: Time, rank: u8) -> Option<Time> {
+    fn free(&self, earliest: Time, latest: Time, target: Time, now: Time, rank: u8) -> Option<Time> {
         let length = Duration::from_secs_f64((self.rate * ISSUED_SHARE).recip().min(1e6)).max(SLOT_MIN);
         let length = length.as_micros() as u64;
         let higher = self.refused.range(..rank).count();
@@ -412,6 +417,7 @@
         (first..=micros(latest) / length)
             .map(|slot| (slot, slot * length))
             .filter(|(slot, _)| !is_kept(*slot, higher))
+            .filter(|(slot, start)| slot.is_multiple_of(LATE_INTERVAL) || time(*start) < target)
             .find(|(_, start)| self.turns.range(time(*start)..time(start + length)).next().is_none())
             .map(|(_, start)| time(start.max(micros(earliest))))
             .filter(|due| *due <= latest)
--- a/chestnutstage_core/src/waiting/group.rs
+++ b/chestnutstage_core/src/waiting/group.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Rate at which requests like `entry` are placed, in requests a second.
+    pub(super) fn rate(&self, now: Time, entry: &Entry) -> Option<f64> {
+        let size = Self::size(entry.group.work, Amount { count: 1, work: micros(entry.work) });
+        Some(self.rate.per_second(now)? / size)
+    }
+
     fn record_rate(&mut self, now: Time, entry: &Entry) {
         let size = Self::size(entry.group.work, Amount { count: 1, work: micros(entry.work) });
         self.rate.record(now, size as u64);
--- a/chestnutstage_core/src/waiting/mod.rs
+++ b/chestnutstage_core/src/waiting/mod.rs
@@ -31,7 +31,7 @@
 /// Maximum number of waiting requests of one customer; those without a customer count as one.
 pub const CUSTOMER_MAX: usize = 256;
 /// Factor by which the forecast wait must exceed the remaining time before an entry is dropped, since the rate of a single
-/// second varies. Chosen, not measured.
+/// second varies.
 const DROP_RATIO: f64 = 1.5;
 /// Time by which it must also exceed it, since a few milliseconds decide nothing.
 const DROP_MARGIN: Duration = Duration::from_millis(100);
@@ -213,6 +213,16 @@
         Some(Forecast { position: ahead.count, start: now + self.wait(now, &entry.group, ahead)? })
     }
 
+    /// Measured rate at which requests like this one are placed, in requests a second; zero if it is unknown.
+    pub fn rate(&self, now: Time, entry: &Entry) -> f64 {
+        self.groups.get(&entry.group).and_then(|queue| queue.rate(now, entry)).unwrap_or_default()
+    }
+
+    /// Whether any request of a group waits.
+    pub fn has_waiting(&self, group: &Group) -> bool {
+        self.groups.get(group).is_some_and(|queue| !queue.is_empty())
+    }
+
     fn wait(&self, now: Time, group: &Group, ahead: Amount) -> Option<Duration> {
         self.groups.get(group).map_or(Some(Duration::ZERO), |queue| queue.wait(now, group.work, ahead))
     }
--- a/chestnutstage_core/tests/turns.rs
+++ b/chestnutstage_core/tests/turns.rs
@@ -30,7 +30,7 @@
 
 /// Refuses caller `n` of rank 0 at a placement rate of 40 requests a second.
 fn refuse(book: &mut TurnBook, now: u64, n: u64) -> Duration {
-    book.reserve(at(now), &group(), 0, digest(n), REMAINING, 40.0, 0.5)
+    book.reserve(at(now), &group(), 0, digest(n), Duration::MAX, REMAINING, 40.0, 0.5)
 }
 
 /// Refusals that gave no turn must not come back together either, and those with one at most at the issued rate.
@@ -41,7 +41,7 @@
     let mut rest = Vec::new();
     for n in 0..100 {
         let jitter = n as f64 / 100.0;
-        let delay = book.reserve(at(1_000), &group(), 0, digest(n), REMAINING, 40.0, jitter);
+        let delay = book.reserve(at(1_000), &group(), 0, digest(n), Duration::MAX, REMAINING, 40.0, jitter);
         assert!((DELAY_MIN..=DELAY_MAX).contains(&delay), "{delay:?}");
         if book.len() as u64 == n + 1 {
             *buckets.entry((at(1_000) + delay).as_millis() / 100).or_default() += 1;
@@ -81,7 +81,7 @@
     let mut book = TurnBook::default();
     let delay = refuse(&mut book, 0, 1);
     let now = Time::ZERO + delay - ms(20);
-    let again = book.reserve(now, &group(), 0, digest(1), REMAINING, 40.0, 0.5);
+    let again = book.reserve(now, &group(), 0, digest(1), Duration::MAX, REMAINING, 40.0, 0.5);
     assert_eq!(again, DELAY_MIN);
     assert_eq!(book.redeem(now + again, digest(1)), Redeemed::Kept);
 }
@@ -90,7 +90,8 @@
 #[test]
 fn rank_order() {
     let mut book = TurnBook::default();
-    let mut refuse = |rank, n| book.reserve(at(5_000), &group(), rank, digest(n), REMAINING, 40.0, 0.0);
+    let mut refuse =
+        |rank, n| book.reserve(at(5_000), &group(), rank, digest(n), Duration::MAX, REMAINING, 40.0, 0.0);
     refuse(0, 0);
     refuse(1, 1);
     let lowest: Vec<_> = (100..200).map(|n| refuse(2, n)).collect();
@@ -108,7 +109,7 @@
     let mut books = [TurnBook::default(), TurnBook::default()];
     for (rank, book) in books.iter_mut().enumerate() {
         for n in 0..100 {
-            book.reserve(at(0), &group(), rank as u8, digest(n), REMAINING, 40.0, 0.0);
+            book.reserve(at(0), &group(), rank as u8, digest(n), Duration::MAX, REMAINING, 40.0, 0.0);
         }
     }
     assert_eq!(books[0].len(), books[1].len());
@@ -118,16 +119,16 @@
 #[test]
 fn expiry() {
     let mut book = TurnBook::default();
-    let delay = book.reserve(at(0), &group(), 1, digest(1), REMAINING, 0.2, 0.0);
+    let delay = book.reserve(at(0), &group(), 1, digest(1), Duration::MAX, REMAINING, 0.2, 0.0);
     let due = Time::ZERO + delay;
     assert_eq!(book.reserved(due, &group(), 1, ms(50)), 1);
     assert_eq!(book.reserved(due, &group(), 0, ms(50)), 0, "room for rank 1 doesn't hold up rank 0");
-    let full = book.reserve(at(0), &group(), 1, digest(2), REMAINING, 0.2, 0.0);
+    let full = book.reserve(at(0), &group(), 1, digest(2), Duration::MAX, REMAINING, 0.2, 0.0);
     assert_eq!((full, book.len()), (DELAY_MAX, 1), "one turn in a slot of 6.7 s");
     assert_eq!(book.expire(due + ms(1_000)), 0);
     assert_eq!(book.expire(due + ms(1_001)), 1);
     assert_eq!(book.reserved(due, &group(), 1, ms(50)), 0);
-    book.reserve(due + ms(1_001), &group(), 1, digest(2), REMAINING, 0.2, 0.0);
+    book.reserve(due + ms(1_001), &group(), 1, digest(2), Duration::MAX, REMAINING, 0.2, 0.0);
     assert_eq!(book.len(), 1, "the slot is free again");
     assert_eq!(book.redeem(due + ms(1_100), digest(1)), Redeemed::Expired);
     assert_eq!(book.redeem(due + ms(1_100), digest(1)), Redeemed::Unknown);
@@ -137,9 +138,9 @@
 #[test]
 fn redeemed_slot() {
     let mut book = TurnBook::default();
-    let delay = book.reserve(at(0), &group(), 0, digest(1), REMAINING, 0.2, 0.0);
+    let delay = book.reserve(at(0), &group(), 0, digest(1), Duration::MAX, REMAINING, 0.2, 0.0);
     assert_eq!(book.redeem(Time::ZERO + delay, digest(1)), Redeemed::Kept);
-    let next = book.reserve(Time::ZERO + delay, &group(), 0, digest(1), REMAINING, 0.2, 0.0);
+    let next = book.reserve(Time::ZERO + delay, &group(), 0, digest(1), Duration::MAX, REMAINING, 0.2, 0.0);
     assert_eq!((next, book.len()), (DELAY_MAX, 0));
 }
 
@@ -151,7 +152,7 @@
         let remaining = ms(remaining);
         for m in 0..20 {
             let digest = digest(n as u64 * 100 + m);
-            let delay = book.reserve(at(0), &group(), 0, digest, remaining, 40.0, 0.5);
+            let delay = book.reserve(at(0), &group(), 0, digest, Duration::MAX, remaining, 40.0, 0.5);
             assert!(delay <= remaining / 3, "{delay:?} of {remaining:?}");
             assert!(delay >= DELAY_MIN.min(remaining / 3), "{delay:?} of {remaining:?}");
         }
@@ -164,7 +165,7 @@
     let mut book = TurnBook::default();
     for n in 0..100_000 {
         let group = Group { service: format!("s{}", n % 5_000).as_str().into(), kind: 0 };
-        book.reserve(at(n / 100), &group, 0, digest(n), REMAINING, 60_000.0, 0.5);
+        book.reserve(at(n / 100), &group, 0, digest(n), Duration::MAX, REMAINING, 60_000.0, 0.5);
         let report = TurnReport::Issued { digest: digest(n + 200_000), stamp: 0, age: 0, remaining: 3_000 };
         book.apply(at(n / 100), &[report]);
         assert!(book.len() <= TURNS_MAX);
@@ -224,7 +225,7 @@
     assert_eq!(second.redeem(due + ms(600), digest(1)), Redeemed::Unknown);
     // The same caller is refused again and gets a new turn, which the old reports must not take away.
     first.apply(due + ms(10), &redeemed);
-    let next = first.reserve(due + ms(10), &group(), 0, digest(1), REMAINING, 40.0, 0.5);
+    let next = first.reserve(due + ms(10), &group(), 0, digest(1), Duration::MAX, REMAINING, 40.0, 0.5);
     first.apply(due + ms(100), &redeemed);
     let renewed = first.take_new(due + ms(100));
     second.apply(due + ms(110), &renewed);
@@ -259,7 +260,16 @@
     let mut book = TurnBook::default();
     for (n, now) in [at(100_000_000), at(0), Time::NEVER, at(5), at(90_000), Time::NEVER].iter().enumerate() {
         for m in 0..10 {
-            let delay = book.reserve(*now, &group(), 0, digest(n as u64 * 10 + m), REMAINING, 40.0, 0.5);
+            let delay = book.reserve(
+                *now,
+                &group(),
+                0,
+                digest(n as u64 * 10 + m),
+                Duration::MAX,
+                REMAINING,
+                40.0,
+                0.5,
+            );
             assert!((DELAY_MIN..=DELAY_MAX).contains(&delay), "{delay:?}");
         }
         assert_eq!(book.len(), 10, "only the turns at this time");
@@ -274,7 +284,16 @@
     let mut book = TurnBook::default();
     for (n, rate) in [f64::NAN, f64::INFINITY, -1.0, 0.0, 1e308, -0.0].into_iter().enumerate() {
         for jitter in [f64::NAN, f64::NEG_INFINITY, 1e308, -3.0, 0.5] {
-            let delay = book.reserve(at(0), &group(), 255, digest(n as u64), Duration::MAX, rate, jitter);
+            let delay = book.reserve(
+                at(0),
+                &group(),
+                255,
+                digest(n as u64),
+                Duration::MAX,
+                Duration::MAX,
+                rate,
+                jitter,
+            );
             assert!((DELAY_MAX * 3 / 4..=DELAY_MAX).contains(&delay), "{delay:?}");
         }
     }
@@ -289,7 +308,7 @@
     assert!(book.is_empty());
     book.apply(at(10), &[TurnReport::Issued { digest: digest(4), stamp: 0, age: 0, remaining: 500 }]);
     assert_eq!(book.len(), 1, "one report out of range doesn't harm the others");
-    book.reserve(at(10), &group(), 0, digest(5), REMAINING, 1e-308, 0.5);
+    book.reserve(at(10), &group(), 0, digest(5), Duration::MAX, REMAINING, 1e-308, 0.5);
     assert_eq!(book.reserved(at(10), &group(), 0, Duration::MAX), 1);
     assert_eq!(book.reserved(at(10), &Group { service: "other".into(), kind: 0 }, 0, Duration::MAX), 0);
 }
@@ -319,7 +338,7 @@
             } else {
                 book.expire(now);
                 let held = book.len();
-                let delay = book.reserve(now, &group(), rank, digest(n), ms(remaining), rate, 0.3);
+                let delay = book.reserve(now, &group(), rank, digest(n), Duration::MAX, ms(remaining), rate, 0.3);
                 let longest = DELAY_MAX.min(ms(remaining) / 3);
                 prop_assert!(delay <= longest && delay >= DELAY_MIN.min(longest), "{:?}", delay);
                 if book.len() > held {
--- a/chestnutstage_core/tests/turns_replay.rs
+++ b/chestnutstage_core/tests/turns_replay.rs
@@ -108,7 +108,16 @@
             let jitter = rng.random_range(0.0..1.0);
             let delay = if turns {
                 let digest = Feature::Request(caller.number);
-                let delay = book.reserve(at(now), &group, 0, digest, remaining, placed.len() as f64, jitter);
+                let delay = book.reserve(
+                    at(now),
+                    &group,
+                    0,
+                    digest,
+                    Duration::MAX,
+                    remaining,
+                    placed.len() as f64,
+                    jitter,
+                );
                 caller.turn = book.redeem(at(now), digest) == Redeemed::Early;
                 delay
             } else {
