Requests wait at their planner for a place

Where the ranks of routes or customers differ, a request without a place was refused although one became free in time. The entry now names the applicant; the dispatcher lets the request wait, in the order of its rank, and gives refused callers turns. Planners tell each other of the turns. Grants of the pool end with the offer that holds them, so that a caller that leaves during a placement costs nothing. The setting admission.waiting switches it.

--- a/chestnutstage_gateway/src/attempt.rs
+++ b/chestnutstage_gateway/src/attempt.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 
 use crate::admission::{Rejection, find_customer};
+use crate::admission_queue::Applicant;
 use crate::channel::{Channel, SendFailure};
 use crate::dispatcher::{IsOpen, Place};
 use crate::exchange::Exchange;
@@ -188,7 +189,25 @@
             tried: self.tried.clone(),
             jitter: rand::rng().random_range(0.0..1.0),
         };
-        self.shared.place(place).await
+        self.shared.place(place, self.applicant(elapsed)).await
+    }
+
+    /// Describes the request for the planner; only a request that was not placed before may wait.
+    fn applicant(&self, elapsed: Duration) -> Option<Applicant> {
+        if !self.tried.is_empty() || self.possible_runs > 0 {
+            return None;
+        }
+        let directory = self.shared.store_cache.directory();
+        let account = directory.as_ref().zip(self.key.as_deref()).and_then(|(d, key)| d.customer(key));
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        Some(Applicant {
+            rank: account.and_then(|account| account.rank).unwrap_or(self.route.rank),
+            customer: self.customer.clone(),
+            digest: *self.features.last()?,
+            id: self.id.clone(),
+            elapsed,
+            spent: self.route.timeout.saturating_sub(remaining),
+        })
     }
 
     /// Reserves the memory that a placement needs.
--- a/chestnutstage_gateway/src/dispatcher.rs
+++ b/chestnutstage_gateway/src/dispatcher.rs
@@ -13,20 +13,25 @@
     Changes, Demand, Grant, Key, LimitReport, Listing, Permit, Placement, Pool, Refusal, Snapshot,
 };
 use chestnutstage_core::time::Time;
+use chestnutstage_core::waiting::{Entry, Mode};
 use kameo::Actor;
+use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
+use crate::admission_queue::AdmissionQueue;
 use crate::clock::Clock;
 use crate::external::{Fact, LoadReport};
+use crate::held_grant::HeldGrant;
 use crate::settings::Bounds;
 
 /// Actor that owns the pool of endpoints.
 #[derive(Actor)]
 pub(crate) struct Dispatcher {
-    pool: Pool,
-    clock: Clock,
+    pub(crate) pool: Pool,
+    pub(crate) admission: AdmissionQueue,
+    pub(crate) clock: Clock,
     bounds: Bounds,
     granted: Arc<Notify>,
     /// Whether any endpoint limits its requests.
@@ -40,11 +45,13 @@
         zone: ZoneId,
         clock: Clock,
         bounds: Bounds,
+        waiting: Mode,
         granted: Arc<Notify>,
     ) -> Self {
         let mut pool = Pool::new(zone, rand::random());
         pool.set_name(name);
-        Self { pool, clock, bounds, granted, limits_known: Arc::default() }
+        let admission = AdmissionQueue::new(waiting);
+        Self { pool, admission, clock, bounds, granted, limits_known: Arc::default() }
     }
 
     /// Flag that tells without a message whether any endpoint limits its requests.
@@ -85,31 +92,36 @@
 #[derive(Debug)]
 pub(crate) struct Offer {
     pub(crate) granted: Granted,
+    pub(crate) held: HeldGrant,
     /// Engine with few free slots, and its home planner, which has to agree.
     pub(crate) claim: Option<(Key, InstanceId)>,
+    /// The request, if it counts as placed only once claims and permits are obtained.
+    pub(crate) entry: Option<Box<Entry>>,
 }
 
 impl Message<Place> for Dispatcher {
     type Reply = Result<Offer, Refusal>;
 
-    async fn handle(&mut self, msg: Place, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        let demand = Demand {
-            service: &msg.service,
-            tokens: msg.tokens,
-            output: msg.output,
-            first: msg.first,
-            gap: msg.gap,
-            remaining: msg.remaining,
-            tried: &msg.tried,
-            jitter: msg.jitter,
-        };
-        let now = self.clock.now();
-        let placement = self.pool.place(now, &demand)?;
+    async fn handle(&mut self, msg: Place, context: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.offer(self.clock.now(), &msg.demand(Duration::ZERO), context.actor_ref())
+    }
+}
+
+impl Dispatcher {
+    /// Places a request by the pool.
+    pub(crate) fn offer(
+        &mut self,
+        now: Time,
+        demand: &Demand<'_>,
+        own: &ActorRef<Self>,
+    ) -> Result<Offer, Refusal> {
+        let placement = self.pool.place(now, demand)?;
         self.granted.notify_one();
+        let held = HeldGrant { dispatcher: own.clone(), number: placement.number };
         let grant = self.pool.grant(placement.number).expect("the grant was just recorded").clone();
         let limits = self.pool.limits_on(&grant);
         let claim = self.pool.claim_needed(&grant).map(|(key, home)| (key, home.clone()));
-        Ok(Offer { granted: Granted { placement, grant, now, limits }, claim })
+        Ok(Offer { granted: Granted { placement, grant, now, limits }, held, claim, entry: None })
     }
 }
 
@@ -189,8 +201,9 @@
 impl Message<FirstEvent> for Dispatcher {
     type Reply = ();
 
-    async fn handle(&mut self, msg: FirstEvent, _: &mut Context<Self, Self::Reply>) {
+    async fn handle(&mut self, msg: FirstEvent, context: &mut Context<Self, Self::Reply>) {
         self.pool.record_first_event(self.clock.now(), msg.0);
+        self.place_waiting(context.actor_ref());
     }
 }
 
@@ -200,8 +213,9 @@
 impl Message<Ended> for Dispatcher {
     type Reply = ();
 
-    async fn handle(&mut self, msg: Ended, _: &mut Context<Self, Self::Reply>) {
+    async fn handle(&mut self, msg: Ended, context: &mut Context<Self, Self::Reply>) {
         self.pool.end_grant(msg.0);
+        self.place_waiting(context.actor_ref());
     }
 }
 
@@ -342,7 +356,7 @@
     /// Number of listed endpoints.
     type Reply = usize;
 
-    async fn handle(&mut self, msg: UpdateListings, _: &mut Context<Self, Self::Reply>) -> usize {
+    async fn handle(&mut self, msg: UpdateListings, context: &mut Context<Self, Self::Reply>) -> usize {
         let now = self.clock.now();
         if msg.complete {
             let id = |fact: &'_ Fact| if let Fact::Listed(l) = fact { Some(l.id.clone()) } else { None };
@@ -359,6 +373,7 @@
                 _ => {}
             }
         }
+        self.place_waiting(context.actor_ref());
         self.pool.listed().count()
     }
 }
@@ -379,6 +394,7 @@
             self.pool.set_service(id.clone(), service.engine, rate);
         }
         self.pool.set_zones_out(msg.zones_out);
+        self.admission.set_rules(msg.directory.catalog());
     }
 }
 
@@ -416,13 +432,14 @@
 impl Message<PeerUpdate> for Dispatcher {
     type Reply = ();
 
-    async fn handle(&mut self, msg: PeerUpdate, _: &mut Context<Self, Self::Reply>) {
+    async fn handle(&mut self, msg: PeerUpdate, context: &mut Context<Self, Self::Reply>) {
         let now = self.clock.now();
         match msg.update {
             GrantUpdate::Snapshot(snapshot) => self.pool.apply_snapshot(now, msg.peer, msg.sent, snapshot),
             GrantUpdate::Changes(changes) => self.pool.apply_changes(now, msg.peer, msg.sent, changes),
         }
         self.update_limits_known();
+        self.place_waiting(context.actor_ref());
     }
 }
 
@@ -432,8 +449,9 @@
 impl Message<PeerLeft> for Dispatcher {
     type Reply = ();
 
-    async fn handle(&mut self, msg: PeerLeft, _: &mut Context<Self, Self::Reply>) {
+    async fn handle(&mut self, msg: PeerLeft, context: &mut Context<Self, Self::Reply>) {
         self.pool.remove_peer(&msg.0);
+        self.place_waiting(context.actor_ref());
     }
 }
 
@@ -507,6 +525,6 @@
     type Reply = String;
 
     async fn handle(&mut self, _: Dump, _: &mut Context<Self, Self::Reply>) -> String {
-        format!("{:#?}", self.pool)
+        format!("{}{:#?}", self.admission.dump(), self.pool)
     }
 }
--- a/chestnutstage_gateway/src/gateway.rs
+++ b/chestnutstage_gateway/src/gateway.rs
@@ -127,6 +127,7 @@
             settings.instance.zone.clone(),
             clock,
             settings.bounds.clone(),
+            settings.admission.waiting,
             granted.clone(),
         );
         let limits_known = dispatcher.limits_known();
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 #![warn(missing_docs)]
 
 mod admission;
+mod admission_queue;
 mod attempt;
 mod channel;
 mod checks;
@@ -26,6 +27,7 @@
 mod fault;
 mod gateway;
 mod headers;
+mod held_grant;
 mod identity;
 mod listener;
 mod liveness;
@@ -35,6 +37,7 @@
 mod peer_message;
 mod peers;
 mod permits;
+mod placement_request;
 mod placer;
 mod quarantine;
 mod read_budget;
--- a/chestnutstage_gateway/src/peer_message.rs
+++ b/chestnutstage_gateway/src/peer_message.rs
@@ -40,7 +40,6 @@
     pub(crate) echo: Option<Time>,
     pub(crate) state: State,
     pub(crate) extension: Extension,
-    #[expect(dead_code, reason = "no part of a state is sent as a section yet")]
     pub(crate) sections: Sections,
 }
 
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -21,13 +21,14 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use crate::admission_queue::{ApplyTurns, TakeTurns};
 use crate::conversation::Conversation;
 use crate::dispatcher::{CountGrants, PeerLeft, PeerUpdate, TakeUpdate};
 
 use crate::external::{Member, Topic};
 use crate::identity::{CERTIFICATE_NAME, LinkError, configs};
 use crate::peer_message::{Extension, PeerMessage, State, decode, encode, send};
-use crate::sections::Sections;
+use crate::sections::{Sections, Tag};
 use crate::shared::Shared;
 
 /// Timeout of a connection attempt: a peer that starts at the same time may not listen yet, and QUIC retransmits its
@@ -293,7 +294,7 @@
     }
 
     async fn apply_state(self: &Arc<Self>, message: PeerMessage, connection: &Connection, first: bool) {
-        let PeerMessage { echo, state, extension, sections: _ } = message;
+        let PeerMessage { echo, state, extension, sections } = message;
         {
             let mut links = self.lock();
             let known = links.get(&state.id);
@@ -323,6 +324,11 @@
             self.send_state(&state.id, connection).await;
         }
         self.shared.apply_quarantine(&state.quarantine);
+        if let Some(turns) = sections.get(Tag::Turns)
+            && self.shared.dispatcher.tell(ApplyTurns(turns)).await.is_err()
+        {
+            warn!("dispatcher has stopped; turns of a peer dropped");
+        }
         // The peer wrote this state after it had received the message sent from here at `echo`, so its rules were current
         // at that time less their age, regardless of transit times and clock offsets.
         let rules_time = echo.map(|echo| echo - state.rules_age);
@@ -359,6 +365,7 @@
     async fn encode_state(&self, grants: GrantContent, marked: bool) -> Option<Bytes> {
         let complete = grants == GrantContent::All;
         let all_reports = grants != GrantContent::Changes;
+        let grants_sent = grants;
         let grants = match grants {
             GrantContent::None => None,
             _ => self.shared.dispatcher.ask(TakeUpdate { complete }).await.ok()?,
@@ -378,7 +385,15 @@
             quarantine: if marked { self.shared.quarantine_reports(all_reports) } else { Vec::new() },
         };
         let extension = Extension { cut_off: self.shared.is_cut_off() };
-        match encode(&state, &extension, &Sections::default()) {
+        let mut sections = Sections::default();
+        // Changes go to all planners, a snapshot may go to a single one.
+        if grants_sent == GrantContent::Changes {
+            let turns = self.shared.dispatcher.ask(TakeTurns).await.ok()?;
+            if !turns.is_empty() {
+                sections.set(Tag::Turns, &turns);
+            }
+        }
+        match encode(&state, &extension, &sections) {
             Ok(bytes) => Some(bytes),
             Err(e) => {
                 warn!("state for the peers can't be encoded and is not sent: {e}");
--- a/chestnutstage_gateway/src/placer.rs
+++ b/chestnutstage_gateway/src/placer.rs
@@ -5,35 +5,33 @@
 //! open while the request runs; its end tells the planner that the grant has ended. If the planner is lost, another one
 //! adopts the grant.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutstage_core::ids::InstanceId;
 use chestnutstage_core::pool::{Cause, Grant, Key, Placement, Refusal};
 use chestnutstage_core::time::Time;
-use kameo::error::SendError;
 use log::{debug, info, warn};
 use metrics::counter;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::admission_queue::{Applicant, Apply, Confirm};
 use crate::conversation::{Conversation, FirstEventArrived, PeerRequest};
 use crate::dispatcher::{
-    Adopt, ClaimDenied, ClaimSlot, Ended, Failed, FindEndpoint, FirstEvent, Granted, IsUnresponsive,
-    ListLimited, Offer, Place, Withdraw,
+    Adopt, ClaimDenied, ClaimSlot, Failed, FindEndpoint, Granted, IsUnresponsive, ListLimited, Offer, Place,
+    Withdraw,
 };
 use crate::fault::Fault;
+use crate::held_grant::HeldGrant;
 use crate::peers::Peers;
+use crate::placement_request::{self, Answer, NotGranted, ask_placement};
 use crate::response::DEFAULT_RETRY_DELAY;
+use crate::sections::Tag;
 use crate::shared::Shared;
 
-/// Fraction of the target time within which a planner has to answer.
-const ANSWER_TARGET_SHARE: f64 = 0.1;
-/// Shortest time within which a planner has to answer; several round trips between zones.
-const ANSWER_TIMEOUT_MIN: Duration = Duration::from_millis(30);
-/// Longest time within which a planner has to answer.
-const ANSWER_TIMEOUT_MAX: Duration = Duration::from_millis(120);
-/// Fraction of that time in which permits for limited endpoints are asked for.
+/// Fraction of the time for an answer in which permits for limited endpoints are asked for.
 const PERMIT_TIME_SHARE: f64 = 0.7;
 /// Denied permits after which limited endpoints are left out of a placement.
 const PERMIT_DENIALS_MAX: u32 = 2;
@@ -54,12 +52,7 @@
 /// Keeps a grant until dropped.
 pub(crate) enum GrantGuard {
     /// A grant of this instance.
-    Local {
-        /// State of the instance.
-        shared: Arc<Shared>,
-        /// Number of the grant.
-        number: u64,
-    },
+    Local(HeldGrant),
     /// A grant of a planner; the task that keeps its stream open gets the first event, and ends with this sender.
     Remote(UnboundedSender<FirstEventArrived>),
 }
@@ -68,7 +61,7 @@
     /// Records that the first event of the response has arrived.
     pub(crate) fn record_first_event(&self) {
         let recorded = match self {
-            Self::Local { shared, number } => shared.dispatcher.tell(FirstEvent(*number)).try_send().is_ok(),
+            Self::Local(held) => held.record_first_event(),
             Self::Remote(events) => events.send(FirstEventArrived).is_ok(),
         };
         if !recorded {
@@ -77,16 +70,6 @@
     }
 }
 
-impl Drop for GrantGuard {
-    fn drop(&mut self) {
-        if let Self::Local { shared, number } = self
-            && shared.dispatcher.tell(Ended(*number)).try_send().is_err()
-        {
-            warn!(grant = *number; "dispatcher has stopped; the grant stays until the process exits");
-        }
-    }
-}
-
 /// A placement with its grant.
 pub(crate) struct Placed {
     pub(crate) placement: Placement,
@@ -97,13 +80,6 @@
     pub(crate) permitted: bool,
 }
 
-impl Place {
-    /// Time within which a planner has to answer.
-    fn answer_timeout(&self) -> Duration {
-        self.first.mul_f64(ANSWER_TARGET_SHARE).clamp(ANSWER_TIMEOUT_MIN, ANSWER_TIMEOUT_MAX)
-    }
-}
-
 impl Shared {
     pub(crate) fn peers(&self) -> Option<Arc<Peers>> {
         self.peers.get()?.upgrade()
@@ -122,37 +98,50 @@
     /// # Errors
     ///
     /// [`Refusal`] if no placement serves the request in time.
-    pub(crate) async fn place(self: &Arc<Self>, place: Place) -> Result<Placed, Refusal> {
+    pub(crate) async fn place(
+        self: &Arc<Self>,
+        mut place: Place,
+        mut applicant: Option<Applicant>,
+    ) -> Result<Placed, Refusal> {
         let peers = self.peers().filter(|_| !self.store_cache.is_planner());
-        let Some(peers) = peers else { return self.place_here(place).await.map(|(placed, _)| placed) };
-        let limit = place.answer_timeout();
+        let Some(peers) = peers else {
+            return self.place_here(place, applicant).await.map(|(placed, _)| placed);
+        };
         for planner in peers.planners_to_ask().into_iter().take(PLANNERS_ASKED_MAX) {
-            match timeout(limit, ask_placement(&peers, &planner, &place)).await {
-                Ok(Ok(Ok((granted, conversation)))) => {
+            let asked = Instant::now();
+            match ask_placement(&peers, &planner, &place, applicant.as_ref()).await {
+                Ok(Ok((granted, conversation))) => {
                     return Ok(keep_remote(&peers, planner, granted, conversation));
                 }
-                Ok(Ok(Err(refusal))) => return Err(refusal),
-                Ok(Err(e)) => debug!(planner:%; "placement request failed: {e}"),
-                Err(_) => debug!(planner:%; "placement request timed out"),
+                Ok(Err(refusal)) => return Err(refusal),
+                Err(e) => debug!(planner:%; "placement request failed: {e}"),
+            }
+            if let Some(applicant) = &mut applicant {
+                place.pass_time(applicant, asked.elapsed());
             }
             counter!("chestnutstage_planners_bypassed_total").increment(1);
             peers.bypass(&planner, BYPASS_TIME);
         }
         counter!("chestnutstage_placed_alone_total").increment(1);
         info!("no planner answers; the request is placed without one");
-        let (Placed { placement, grant: own, permitted, .. }, grant) = self.place_here(place).await?;
+        let (Placed { placement, grant: own, permitted, .. }, grant) = self.place_here(place, None).await?;
         let (events, received) = unbounded_channel();
         tokio::spawn(keep_grant(peers, grant, Keeper::Own(own), received));
         Ok(Placed { placement, grant: GrantGuard::Remote(events), planner: None, permitted })
     }
 
-    async fn place_here(self: &Arc<Self>, place: Place) -> Result<(Placed, Grant), Refusal> {
-        match self.grant(place).await {
-            Ok((Granted { placement, grant, limits, .. }, guard)) => {
+    async fn place_here(
+        self: &Arc<Self>,
+        place: Place,
+        applicant: Option<Applicant>,
+    ) -> Result<(Placed, Grant), Refusal> {
+        match self.grant(place, applicant, None).await {
+            Ok((Granted { placement, grant, limits, .. }, held)) => {
                 let permitted = !limits.is_empty();
+                let guard = GrantGuard::Local(held);
                 Ok((Placed { placement, grant: guard, planner: None, permitted }, grant))
             }
-            Err(SendError::HandlerError(refusal)) => Err(refusal),
+            Err(NotGranted::Refused(refusal)) => Err(refusal),
             Err(e) => {
                 warn!("dispatcher can't place a request; refusing it: {e}");
                 Err(Refusal { cause: Cause::NoEndpoint, retry: DEFAULT_RETRY_DELAY })
@@ -161,25 +150,45 @@
     }
 
     /// Places a request by the pool of this instance, with permits for limited endpoints. After some denials limited endpoints
-    /// are left out.
+    /// are left out. While the request waits, the expected wait is sent to `queued`.
     async fn grant(
         self: &Arc<Self>,
         mut place: Place,
-    ) -> Result<(Granted, GrantGuard), SendError<Place, Refusal>> {
-        let until = Instant::now() + place.answer_timeout().mul_f64(PERMIT_TIME_SHARE);
+        applicant: Option<Applicant>,
+        queued: Option<&UnboundedSender<u32>>,
+    ) -> Result<(Granted, HeldGrant), NotGranted> {
+        let span = place.answer_timeout().mul_f64(PERMIT_TIME_SHARE);
+        let mut until = Instant::now() + span;
         let mut denials = 0;
         let mut claims = 0;
+        let mut entry = None;
         loop {
-            let Offer { granted, claim } = self.dispatcher.ask(place.clone()).await?;
-            let guard = GrantGuard::Local { shared: self.clone(), number: granted.placement.number };
-            if let Some((key, home)) = claim.filter(|_| claims < CLAIMS_MAX)
+            let offer = match &applicant {
+                None => self.dispatcher.ask(place.clone()).await?,
+                Some(applicant) => {
+                    let (place, applicant) = (place.clone(), applicant.clone());
+                    let (offer, waited) = self.apply(Apply { place, applicant, entry }, queued).await?;
+                    if waited {
+                        until = Instant::now() + span;
+                    }
+                    offer
+                }
+            };
+            let Offer { granted, held, claim, entry: unsettled } = offer;
+            entry = unsettled;
+            if let Some((key, home)) = claim.filter(|_| claims < CLAIMS_MAX || entry.is_some())
                 && !self.claim_slot(key, home, until).await
             {
                 claims += 1;
                 continue;
             }
             if self.obtain_permits(&granted.limits, until).await {
-                return Ok((granted, guard));
+                if let Some(entry) = entry
+                    && self.dispatcher.tell(Confirm(entry)).await.is_err()
+                {
+                    warn!("dispatcher has stopped; placement not counted");
+                }
+                return Ok((granted, held));
             }
             denials += 1;
             if denials >= PERMIT_DENIALS_MAX || Instant::now() >= until {
@@ -248,25 +257,15 @@
             return self.dispatcher.ask(IsUnresponsive(key)).await.unwrap_or_default();
         }
         let Some(peers) = self.peers() else { return false };
-        let answer = timeout(ANSWER_TIMEOUT_MAX, peers.ask_first(&PeerRequest::IsUnresponsive(key))).await;
+        let answer = timeout(
+            placement_request::ANSWER_TIMEOUT_MAX,
+            peers.ask_first(&PeerRequest::IsUnresponsive(key)),
+        )
+        .await;
         matches!(answer, Ok(Ok(true)))
     }
 }
 
-type Answer = Result<Granted, Refusal>;
-
-async fn ask_placement(
-    peers: &Peers,
-    planner: &InstanceId,
-    place: &Place,
-) -> Result<Result<(Granted, Conversation), Refusal>, String> {
-    let connection = peers.connection(planner).ok_or("the link is lost")?;
-    let request = PeerRequest::Place(place.clone());
-    let mut conversation = Conversation::open(Some(planner.clone()), &connection, &request).await?;
-    let answer: Answer = conversation.receive_response().await?;
-    Ok(answer.map(|granted| (granted, conversation)))
-}
-
 /// Starts the task that keeps the stream of a planner's grant open.
 fn keep_remote(
     peers: &Arc<Peers>,
@@ -379,36 +378,42 @@
 
     /// Serves a stream that a peer opened.
     pub(crate) async fn serve(self: Arc<Self>, mut conversation: Conversation) {
-        let received = conversation.receive_request().await.map(|(request, _)| request);
+        let received = conversation.receive_request().await;
         let served = match received {
-            Ok(PeerRequest::Topic(topic)) => self.send_topic(&mut conversation, topic).await,
-            Ok(PeerRequest::Place(place)) => self.serve_placement(conversation, place).await,
-            Ok(PeerRequest::Adopt { grant, sent }) => self.serve_adoption(conversation, grant, sent).await,
-            Ok(PeerRequest::IsUnresponsive(key)) => {
+            Ok((PeerRequest::Topic(topic), _)) => self.send_topic(&mut conversation, topic).await,
+            Ok((PeerRequest::Place(place), sections)) => {
+                self.serve_placement(conversation, place, sections.get(Tag::Applicant)).await
+            }
+            Ok((PeerRequest::Adopt { grant, sent }, _)) => {
+                self.serve_adoption(conversation, grant, sent).await
+            }
+            Ok((PeerRequest::IsUnresponsive(key), _)) => {
                 let answer = self.shared.dispatcher.ask(IsUnresponsive(key)).await.unwrap_or_default();
                 conversation.send(&answer).await
             }
-            Ok(PeerRequest::Withdrawn(key, span)) => {
+            Ok((PeerRequest::Withdrawn(key, span), _)) => {
                 if self.shared.dispatcher.ask(Withdraw(key, span)).await.is_err() {
                     warn!("dispatcher has stopped; withdrawal of an endpoint not recorded");
                 }
                 conversation.send(&()).await
             }
-            Ok(PeerRequest::Limit(key, rate)) => {
+            Ok((PeerRequest::Limit(key, rate), _)) => {
                 self.shared.record_told_limit(key, rate).await;
                 conversation.send(&()).await
             }
-            Ok(PeerRequest::Permit(limit)) => {
+            Ok((PeerRequest::Permit(limit), _)) => {
                 let permit = self.shared.serve_permit(limit).await;
                 conversation.send(&permit).await
             }
-            Ok(PeerRequest::Claim(key, planner)) => {
+            Ok((PeerRequest::Claim(key, planner), _)) => {
                 let agreed = self.shared.dispatcher.ask(ClaimSlot { key, planner }).await.unwrap_or(true);
                 conversation.send(&agreed).await
             }
-            Ok(PeerRequest::Tunnel(key)) => self.serve_tunnel(conversation, key).await,
-            Ok(PeerRequest::CallEngine(key, call)) => self.serve_engine_call(conversation, key, call).await,
-            Ok(PeerRequest::Failed(key)) => {
+            Ok((PeerRequest::Tunnel(key), _)) => self.serve_tunnel(conversation, key).await,
+            Ok((PeerRequest::CallEngine(key, call), _)) => {
+                self.serve_engine_call(conversation, key, call).await
+            }
+            Ok((PeerRequest::Failed(key), _)) => {
                 if self.shared.dispatcher.ask(Failed(key)).await.is_err() {
                     warn!("dispatcher has stopped; failure of an endpoint not recorded");
                 }
@@ -421,17 +426,36 @@
         }
     }
 
-    async fn serve_placement(&self, mut conversation: Conversation, place: Place) -> Result<(), String> {
-        let (answer, guard): (Answer, _) = match self.shared.grant(place).await {
-            Ok((granted, guard)) => (Ok(granted), Some(guard)),
-            Err(SendError::HandlerError(refusal)) => (Err(refusal), None),
+    async fn serve_placement(
+        &self,
+        mut conversation: Conversation,
+        place: Place,
+        applicant: Option<Applicant>,
+    ) -> Result<(), String> {
+        let (queued, mut expected) = unbounded_channel();
+        let granted = {
+            let mut granting = pin!(self.shared.grant(place, applicant, Some(&queued)));
+            loop {
+                tokio::select! {
+                    biased;
+                    granted = &mut granting => break granted,
+                    Some(expected_ms) = expected.recv() => {
+                        conversation.send(&Answer::Queued { expected_ms }).await?;
+                    }
+                    () = conversation.ended() => return Ok(()),
+                }
+            }
+        };
+        let (answer, held) = match granted {
+            Ok((granted, held)) => (Answer::Granted(Box::new(granted)), Some(held)),
+            Err(NotGranted::Refused(refusal)) => (Answer::Refused(refusal), None),
             Err(e) => return Err(e.to_string()),
         };
         counter!("chestnutstage_placed_for_peers_total").increment(1);
         let sent = conversation.send(&answer).await;
-        let Some(guard) = guard else { return sent };
+        let Some(held) = held else { return sent };
         sent?;
-        hold(conversation, &guard).await;
+        hold(conversation, &held).await;
         Ok(())
     }
 
@@ -443,17 +467,21 @@
     ) -> Result<(), String> {
         let grant = grant.translate(self.shared.clock.now(), sent);
         let number = self.shared.dispatcher.ask(Adopt(grant)).await.map_err(|e| e.to_string())?;
-        let guard = GrantGuard::Local { shared: self.shared.clone(), number };
-        hold(conversation, &guard).await;
+        let held = HeldGrant { dispatcher: self.shared.dispatcher.clone(), number };
+        hold(conversation, &held).await;
         Ok(())
     }
 }
 
 /// Holds a grant for a peer until its stream ends.
-async fn hold(mut conversation: Conversation, guard: &GrantGuard) {
+async fn hold(mut conversation: Conversation, held: &HeldGrant) {
     loop {
         match conversation.receive::<FirstEventArrived>().await {
-            Ok(Some(_)) => guard.record_first_event(),
+            Ok(Some(_)) => {
+                if !held.record_first_event() {
+                    warn!("dispatcher has stopped; first event not recorded");
+                }
+            }
             Ok(None) => return,
             Err(e) => {
                 debug!("link of a grant lost: {e}");
--- a/chestnutstage_gateway/src/settings.rs
+++ b/chestnutstage_gateway/src/settings.rs
@@ -6,6 +6,7 @@
 
 use chestnutstage_config::load::{LoadError, load, parse};
 use chestnutstage_core::ids::{InstanceId, ZoneId};
+use chestnutstage_core::waiting::Mode;
 use serde::{Deserialize, Serialize};
 
 /// Fraction of the shared retry budget that is used; the remainder covers instances that joined but are not known yet.
@@ -24,6 +25,9 @@
     /// Limits that the deployment sets.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Requests for which there is no place yet.
+    #[serde(default)]
+    pub admission: Admission,
 }
 
 /// Identity of the instance.
@@ -78,6 +82,14 @@
     pub address: SocketAddr,
 }
 
+/// Requests for which there is no place yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Admission {
+    /// When they wait for a place instead of being refused at once.
+    pub waiting: Mode,
+}
+
 /// Limits that the deployment sets.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/chestnutstage_gateway/tests/common/mod.rs
+++ b/chestnutstage_gateway/tests/common/mod.rs
@@ -19,7 +19,7 @@
 use chestnutstage_core::ids::InstanceId;
 use chestnutstage_core::pool::Listing;
 use chestnutstage_gateway::external::{Fact, Registry, Topic};
-use chestnutstage_gateway::settings::{Bounds, InstanceSettings, Listen, Settings, Store};
+use chestnutstage_gateway::settings::{Admission, Bounds, InstanceSettings, Listen, Settings, Store};
 use chestnutstage_gateway::{Adapters, Gateway};
 use reqwest::{Client, Method, RequestBuilder, StatusCode};
 
@@ -111,6 +111,7 @@
         listen: Listen { callers: any, checks: any, peers: 0, metrics: None },
         store: Store { address: any },
         bounds: Bounds::default(),
+        admission: Admission::default(),
     }
 }
 
