--- a/chestnutstage_core/src/pool/mod.rs
+++ b/chestnutstage_core/src/pool/mod.rs
@@ -8,6 +8,7 @@
 
 mod bulk;
 mod capacity;
+mod estimate;
 mod exchange;
 mod limits;
 mod load;
@@ -32,6 +33,7 @@
 use crate::time::Time;
 
 pub use self::capacity::CapacityChange;
+pub use self::estimate::Estimate;
 pub use self::exchange::{Changes, Snapshot};
 pub use self::limits::{LimitReport, Permit};
 pub use self::place::{Cause, Demand, Helper, Placement, Refusal};
--- a/chestnutstage_gateway/src/peers.rs
+++ b/chestnutstage_gateway/src/peers.rs
@@ -22,6 +22,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use crate::admission_queue::{ApplyTurns, TakeTurns};
 use crate::conversation::Conversation;
 use crate::dispatcher::{ApplyCapacities, CountGrants, PeerLeft, PeerUpdate, TakeCapacities, TakeUpdate};
 
@@ -329,6 +330,11 @@
         {
             warn!("dispatcher has stopped; capacities that a peer learned dropped");
         }
+        if let Some(turns) = sections.get(Tag::Turns)
+            && self.shared.dispatcher.tell(ApplyTurns(turns)).await.is_err()
+        {
+            warn!("dispatcher has stopped; turns of a peer dropped");
+        }
         // The peer wrote this state after it had received the message sent from here at `echo`, so its rules were current
         // at that time less their age, regardless of transit times and clock offsets.
         let rules_time = echo.map(|echo| echo - state.rules_age);
@@ -365,6 +371,7 @@
     async fn encode_state(&self, grants: GrantContent, marked: bool, sections: &Sections) -> Option<Bytes> {
         let complete = grants == GrantContent::All;
         let all_reports = grants != GrantContent::Changes;
+        let grants_sent = grants;
         let grants = match grants {
             GrantContent::None => None,
             _ => self.shared.dispatcher.ask(TakeUpdate { complete }).await.ok()?,
@@ -384,7 +391,15 @@
             quarantine: if marked { self.shared.quarantine_reports(all_reports) } else { Vec::new() },
         };
         let extension = Extension { cut_off: self.shared.is_cut_off() };
-        match encode(&state, &extension, sections) {
+        let mut sections = sections.clone();
+        // Changes go to all planners, a snapshot may go to a single one.
+        if grants_sent == GrantContent::Changes {
+            let turns = self.shared.dispatcher.ask(TakeTurns).await.ok()?;
+            if !turns.is_empty() {
+                sections.set(Tag::Turns, &turns);
+            }
+        }
+        match encode(&state, &extension, &sections) {
             Ok(bytes) => Some(bytes),
             Err(e) => {
                 warn!("state for the peers can't be encoded and is not sent: {e}");
--- a/chestnutstage_gateway/tests/common/mod.rs
+++ b/chestnutstage_gateway/tests/common/mod.rs
@@ -19,7 +19,9 @@
 use chestnutstage_core::ids::InstanceId;
 use chestnutstage_core::pool::Listing;
 use chestnutstage_gateway::external::{Fact, Registry, Topic};
-use chestnutstage_gateway::settings::{Bounds, InstanceSettings, Listen, PlacementSettings, Settings, Store};
+use chestnutstage_gateway::settings::{
+    Admission, Bounds, InstanceSettings, Listen, PlacementSettings, Settings, Store,
+};
 use chestnutstage_gateway::{Adapters, Gateway};
 use reqwest::{Client, Method, RequestBuilder, StatusCode};
 
@@ -112,6 +114,7 @@
         store: Store { address: any },
         bounds: Bounds::default(),
         placement: PlacementSettings::default(),
+        admission: Admission::default(),
     }
 }
 
