Tests of waiting at planners, and targets of returning callers

A request that returns early or late was given a new target, although its target counts from its first attempt; one in its turn keeps a new one, since room is kept for it. Rounds after messages of peers run at most every 2 ms. The fleet of the test of planners is shared with the new tests: a planner that holds a waiting request leaves, or its caller does.

--- a/chestnutstage_gateway/src/admission_queue.rs
+++ b/chestnutstage_gateway/src/admission_queue.rs
@@ -30,6 +30,8 @@
 const START_RESERVE: Duration = Duration::from_millis(150);
 /// Longest time between two rounds while a request waits.
 const ROUND_INTERVAL: Duration = Duration::from_millis(10);
+/// Shortest time between a round and one that follows a message of a peer.
+const UPDATE_ROUND_INTERVAL: Duration = Duration::from_millis(2);
 
 /// The request for which a place is asked, as described by the instance that received it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -104,6 +106,8 @@
     last_ticket: Ticket,
     /// Whether rounds run at intervals.
     ticking: bool,
+    /// Start of the last round.
+    last_round: Time,
     /// Labels of the gauge that were set.
     shown: BTreeSet<(ModelId, u8)>,
 }
@@ -213,10 +217,14 @@
         let target = place.first + applicant.elapsed;
         let reserve = if estimate.work == Work::Plain { Duration::ZERO } else { START_RESERVE };
         let planned = target.mul_f64(TARGET_SHARE).min(target.saturating_sub(reserve));
+        let planned = planned.min(applicant.elapsed + place.remaining);
         let arrived = now - applicant.elapsed;
-        // Only of a caller that was refused is it known when it asked first.
-        let late = place.first.is_zero() || (redeemed != Redeemed::Unknown && applicant.spent >= target);
+        // Only of a caller that was refused is it known when it asked first. One that returns in its turn gets a new target,
+        // since room is kept for it.
+        let first_asked = if redeemed == Redeemed::Unknown { applicant.elapsed } else { applicant.spent };
+        let late = place.first.is_zero() || first_asked >= target;
         let returning = redeemed == Redeemed::Kept;
+        let asked = if returning { arrived } else { now - first_asked };
         self.admission.last_ticket += 1;
         let entry = Entry {
             ticket: self.admission.last_ticket,
@@ -225,7 +233,7 @@
             customer: applicant.customer.clone(),
             weight: 1,
             work: estimate.busy,
-            latest: arrived + planned.saturating_sub(estimate.first),
+            latest: asked + planned.saturating_sub(estimate.first),
             returning,
             arrived,
         };
@@ -295,6 +303,7 @@
     /// Places as many waiting requests as there are places.
     pub(crate) fn run_round(&mut self, now: Time, own: &ActorRef<Self>) {
         let mut round = Round::default();
+        self.admission.last_round = now;
         while let Some(ticket) = self.admission.queue.next(&round) {
             let Some((entry, waiting)) =
                 self.admission.queue.get(ticket).zip(self.admission.waiting.get(&ticket))
@@ -347,6 +356,14 @@
         }
     }
 
+    /// Runs a round after a message of a peer. Messages of many peers arrive within a moment, and each round costs about as
+    /// much as a placement.
+    pub(crate) fn place_waiting_after_update(&mut self, own: &ActorRef<Self>) {
+        if self.clock.now().since(self.admission.last_round) >= UPDATE_ROUND_INTERVAL {
+            self.place_waiting(own);
+        }
+    }
+
     /// Starts the task that runs rounds at intervals until nothing waits.
     fn start_ticking(&mut self, own: &ActorRef<Self>) {
         if std::mem::replace(&mut self.admission.ticking, true) {
--- a/chestnutstage_gateway/src/dispatcher.rs
+++ b/chestnutstage_gateway/src/dispatcher.rs
@@ -439,7 +439,7 @@
             GrantUpdate::Changes(changes) => self.pool.apply_changes(now, msg.peer, msg.sent, changes),
         }
         self.update_limits_known();
-        self.place_waiting(context.actor_ref());
+        self.place_waiting_after_update(context.actor_ref());
     }
 }
 
--- a/chestnutstage_gateway/tests/common/mod.rs
+++ b/chestnutstage_gateway/tests/common/mod.rs
@@ -6,6 +6,7 @@
 #[path = "../../../chestnutstage_core/tests/common/costs.rs"]
 mod costs;
 pub mod external;
+pub mod fleet;
 pub mod path;
 
 use std::collections::BTreeMap;
--- a/chestnutstage_gateway/tests/waiting.rs
+++ b/chestnutstage_gateway/tests/waiting.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use chestnutstage_core::catalog::{Catalog, Repeat, Route, Target};
+use chestnutstage_core::ids::InstanceId;
 use chestnutstage_core::pool::Listing;
 use chestnutstage_core::waiting::Mode;
 use chestnutstage_gateway::external::{Fact, Topic};
-use common::backend::{Backend, END, Reply, stream};
+use common::backend::{Backend, END, Reply, event, stream, success};
 use common::external::FakeStore;
+use common::fleet::{Fleet, state};
 use common::{Harness, catalog, listing, route, settings};
 use reqwest::{Method, Response, StatusCode};
 use tokio::task::JoinHandle;
@@ -97,11 +99,6 @@
     request.body(body).send().await.unwrap()
 }
 
-async fn state(harness: &Harness) -> String {
-    let url = format!("http://{}/state", harness.gateway.listen_addresses().checks);
-    harness.http.get(url).send().await.unwrap().text().await.unwrap()
-}
-
 fn retry_after(response: &Response) -> Duration {
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     let seconds = response.headers()["retry-after"].to_str().unwrap().parse().unwrap();
@@ -221,3 +218,96 @@
     catalog.customers[1].rank = Some(0);
     assert!(waits(catalog, Mode::ByRank).await);
 }
+
+/// Guards against plain calls that are refused although an endpoint becomes free in time.
+#[tokio::test]
+async fn plain_call_waits() {
+    // An endpoint also queues two calls for each of its slots.
+    const CALLS: usize = 3;
+    let backend =
+        Backend::start([vec![Reply::Hang(String::new()); CALLS], vec![success("done")]].concat()).await;
+    let store = Arc::new(FakeStore::default());
+    let target = Target { first: Duration::from_secs(20), ..route("book", Repeat::Once, "desk").target };
+    let timeout = Duration::from_secs(30);
+    let routes = vec![
+        Route { target, timeout, ..route("book", Repeat::Once, "desk") },
+        Route { rank: 0, ..route("look", Repeat::Idempotent, "desk") },
+    ];
+    store.publish(Topic::Operators, vec![Fact::Catalog(Box::new(Catalog { routes, ..catalog(1) }))]);
+    let desk = Listing { slots: 1, ..listing("d1", "desk", backend.address) };
+    store.publish(Topic::Endpoints, vec![Fact::Listed(desk)]);
+    let harness = Harness::with_settings(settings("i1"), store).await;
+    harness.until_ready().await;
+    let held: Vec<_> =
+        (0..CALLS).map(|_| tokio::spawn(harness.request(Method::POST, "/book/x").send())).collect();
+    while backend.requests().len() < CALLS {
+        sleep(Duration::from_millis(2)).await;
+    }
+    let next = tokio::spawn(harness.request(Method::POST, "/book/next").send());
+    while !state(&harness).await.contains("work=Plain rank=1: 1\n") {
+        sleep(Duration::from_millis(2)).await;
+    }
+    held.iter().for_each(JoinHandle::abort);
+    assert_eq!(next.await.unwrap().unwrap().status(), StatusCode::OK);
+}
+
+/// Starts a fleet whose engine is full, with a request that waits; returns the name of the planner that holds it.
+async fn waiting_fleet(replies: Vec<Reply>) -> (Fleet, Vec<Response>, JoinHandle<Response>, InstanceId) {
+    let replies = [vec![held(); SLOTS], replies].concat();
+    let fleet = Fleet::start(ranked(), SLOTS as u32, replies).await;
+    let mut held = Vec::new();
+    for _ in 0..SLOTS {
+        held.push(call(fleet.entry(), "usual", "held").await);
+    }
+    assert!(held.iter().all(|response| response.status().is_success()));
+    let request = fleet.entry().request(Method::POST, "/usual/x").header("x-tokens", "100").body("next");
+    let next = tokio::spawn(async move { request.send().await.unwrap() });
+    let holder = loop {
+        if let Some(holder) = holder(&fleet).await {
+            break holder;
+        }
+        sleep(Duration::from_millis(5)).await;
+    };
+    (fleet, held, next, holder)
+}
+
+async fn holder(fleet: &Fleet) -> Option<InstanceId> {
+    for planner in fleet.planners() {
+        if state(planner).await.contains("waiting = 1\n") {
+            return Some(planner.name.clone());
+        }
+    }
+    None
+}
+
+/// Guards against requests that wait at the entry instead of the planner, and against planners that keep those of callers that
+/// left.
+#[tokio::test]
+async fn wait_at_planner() {
+    let (fleet, held, next, _) = waiting_fleet(vec![complete()]).await;
+    next.abort();
+    while holder(&fleet).await.is_some() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    drop(held);
+    fleet.until_informed(0).await;
+    assert_eq!(fleet.backend.requests().len(), SLOTS, "nothing reached the endpoint");
+}
+
+/// Guards against requests that are lost, refused or sent twice when the planner at which they wait is lost.
+#[tokio::test]
+async fn planner_lost_while_waiting() {
+    let (mut fleet, held, next, lost) = waiting_fleet(vec![complete()]).await;
+    let (_, harness) = fleet.harnesses.iter_mut().find(|(id, _)| *id == lost).unwrap();
+    harness.take().unwrap().gateway.shutdown().await;
+    while holder(&fleet).await.is_none() {
+        assert!(!next.is_finished());
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(fleet.backend.requests().len(), SLOTS);
+    drop(held);
+    let response = next.await.unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+    assert_eq!(response.text().await.unwrap(), event(1));
+    assert_eq!(fleet.backend.requests().len(), SLOTS + 1, "sent once");
+}
