Bulk prompts do not wait for a place

Change: only brief prompts and plain calls wait; bulk prompts are placed or refused at once, as before.

--- a/chestnutstage_gateway/src/admission_queue.rs
+++ b/chestnutstage_gateway/src/admission_queue.rs
@@ -243,12 +243,12 @@
     fn apply(&mut self, msg: Apply, own: &ActorRef<Self>) -> Result<Application, Refusal> {
         let Apply { place, applicant, entry } = msg;
         let now = self.clock.now();
-        if !self.admission.services.contains(&place.service) {
-            return Ok(Application::Offered(Box::new(self.offer(
-                now,
-                &place.demand(Duration::ZERO),
-                own,
-            )?)));
+        let demand = place.demand(Duration::ZERO);
+        // A bulk prompt that waits is placed as soon as it just fits, which delays the brief prompts that decode there.
+        let waits = self.admission.services.contains(&place.service)
+            && self.pool.estimate(&demand).work != Work::Bulk;
+        if !waits {
+            return Ok(Application::Offered(Box::new(self.offer(now, &demand, own)?)));
         }
         let (entry, may_wait) =
             entry.map_or_else(|| self.entry(now, &place, &applicant), |entry| (*entry, true));
