Placement messages get modules of their own

The placements that the pool offers move to offers.rs, and serving the placement request of a peer to placement_request.rs. No behavior changes.

--- a/chestnutstage_gateway/src/admission_queue.rs
+++ b/chestnutstage_gateway/src/admission_queue.rs
@@ -8,7 +8,7 @@
 
 use chestnutstage_core::catalog::Catalog;
 use chestnutstage_core::ids::{CustomerId, ModelId};
-use chestnutstage_core::pool::{Cause, Demand, Refusal, Work};
+use chestnutstage_core::pool::{Cause, Refusal, Work};
 use chestnutstage_core::quarantine::Feature;
 use chestnutstage_core::time::Time;
 use chestnutstage_core::turns::{self, Redeemed, TurnBook, TurnReport};
@@ -21,7 +21,8 @@
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
-use crate::dispatcher::{Dispatcher, Offer, Place};
+use crate::dispatcher::Dispatcher;
+use crate::offers::{Offer, Place};
 
 /// Fraction of the target that a planned time to first event may take.
 const TARGET_SHARE: f64 = 0.8;
@@ -192,22 +193,6 @@
     matches!(cause, Cause::NoSlot | Cause::NoMemory | Cause::TooLate)
 }
 
-impl Place {
-    /// The demand after `age` since it was asked for.
-    pub(crate) fn demand(&self, age: Duration) -> Demand<'_> {
-        Demand {
-            service: &self.service,
-            tokens: self.tokens,
-            output: self.output,
-            first: self.first.saturating_sub(age),
-            gap: self.gap,
-            remaining: self.remaining.saturating_sub(age),
-            tried: &self.tried,
-            jitter: self.jitter,
-        }
-    }
-}
-
 impl Dispatcher {
     /// Describes a request that asks for the first time; also returns whether it may wait.
     fn entry(&mut self, now: Time, place: &Place, applicant: &Applicant) -> (Entry, bool) {
--- a/chestnutstage_gateway/src/conversation.rs
+++ b/chestnutstage_gateway/src/conversation.rs
@@ -12,9 +12,9 @@
 use tokio::time::timeout;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use crate::dispatcher::Place;
 use crate::engine_access::EngineCall;
 use crate::external::Topic;
+use crate::offers::Place;
 use crate::peers::MESSAGE_BYTES_MAX;
 use crate::sections::{self, Sections};
 
--- a/chestnutstage_gateway/src/lib.rs
+++ b/chestnutstage_gateway/src/lib.rs
@@ -6,8 +6,10 @@
 //! `chestnutstage_core`.
 //!
 //! Modules that a request passes through, in order: `listener` (the caller's connection), `exchange` (the whole
-//! request), `admission` (route, customer, body), `attempt` (one sending to an endpoint), `placer` (placement here or by a planner), `dispatcher` (the pool),
-//! `reservations` (KV memory), `channel` (connection to the endpoint; `paths` and `tunnel` where the path there is lost), `stream` (events back to the caller).
+//! request), `admission` (route, customer, body), `attempt` (one sending to an endpoint), `placer` and
+//! `placement_request` (placement here or by a planner), `dispatcher` (the pool; `offers` its placements,
+//! `admission_queue` requests that wait for one), `reservations` (KV memory), `channel` (connection to the endpoint;
+//! `paths` and `tunnel` where the path there is lost), `stream` (events back to the caller).
 
 #![warn(missing_docs)]
 
@@ -33,6 +35,7 @@
 mod liveness;
 mod load_reports;
 mod observed_stream;
+mod offers;
 mod paths;
 mod peer_message;
 mod peers;
--- a/chestnutstage_gateway/src/placement_request.rs
+++ b/chestnutstage_gateway/src/placement_request.rs
@@ -1,19 +1,22 @@
 //! Placement requests between an instance and the planner that it asks, and the wait for a place.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use chestnutstage_core::ids::InstanceId;
 use chestnutstage_core::pool::Refusal;
 use kameo::error::SendError;
+use metrics::counter;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::admission_queue::{Applicant, Application, Apply};
 use crate::conversation::{Conversation, PeerRequest};
-use crate::dispatcher::{Granted, Offer, Place};
+use crate::offers::{Granted, Offer, Place};
 use crate::peers::Peers;
+use crate::placer::hold;
 use crate::sections::{Sections, Tag};
 use crate::shared::Shared;
 
@@ -133,3 +136,39 @@
         }
     }
 }
+
+impl Peers {
+    /// Places the request of a peer, and holds the grant until its stream ends.
+    pub(crate) async fn serve_placement(
+        &self,
+        mut conversation: Conversation,
+        place: Place,
+        applicant: Option<Applicant>,
+    ) -> Result<(), String> {
+        let (queued, mut expected) = unbounded_channel();
+        let granted = {
+            let mut granting = pin!(self.shared.grant(place, applicant, Some(&queued)));
+            loop {
+                tokio::select! {
+                    biased;
+                    granted = &mut granting => break granted,
+                    Some(expected_ms) = expected.recv() => {
+                        conversation.send(&Answer::Queued { expected_ms }).await?;
+                    }
+                    () = conversation.ended() => return Ok(()),
+                }
+            }
+        };
+        let (answer, held) = match granted {
+            Ok((granted, held)) => (Answer::Granted(Box::new(granted)), Some(held)),
+            Err(NotGranted::Refused(refusal)) => (Answer::Refused(refusal), None),
+            Err(e) => return Err(e.to_string()),
+        };
+        counter!("chestnutstage_placed_for_peers_total").increment(1);
+        let sent = conversation.send(&answer).await;
+        let Some(held) = held else { return sent };
+        sent?;
+        hold(conversation, &held).await;
+        Ok(())
+    }
+}
--- a/chestnutstage_gateway/src/placer.rs
+++ b/chestnutstage_gateway/src/placer.rs
@@ -5,7 +5,6 @@
 //! open while the request runs; its end tells the planner that the grant has ended. If the planner is lost, another one
 //! adopts the grant.
 
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,14 +18,12 @@
 
 use crate::admission_queue::{Applicant, Apply, Confirm};
 use crate::conversation::{Conversation, FirstEventArrived, PeerRequest};
-use crate::dispatcher::{
-    Adopt, ClaimDenied, ClaimSlot, Failed, FindEndpoint, Granted, IsUnresponsive, ListLimited, Offer, Place,
-    Withdraw,
-};
+use crate::dispatcher::{Adopt, Failed, FindEndpoint, IsUnresponsive, ListLimited, Withdraw};
 use crate::fault::Fault;
 use crate::held_grant::HeldGrant;
+use crate::offers::{ClaimDenied, ClaimSlot, Granted, Offer, Place};
 use crate::peers::Peers;
-use crate::placement_request::{self, Answer, NotGranted, ask_placement};
+use crate::placement_request::{self, NotGranted, ask_placement};
 use crate::response::DEFAULT_RETRY_DELAY;
 use crate::sections::Tag;
 use crate::shared::Shared;
@@ -151,7 +148,7 @@
 
     /// Places a request by the pool of this instance, with permits for limited endpoints. After some denials limited endpoints
     /// are left out. While the request waits, the expected wait is sent to `queued`.
-    async fn grant(
+    pub(crate) async fn grant(
         self: &Arc<Self>,
         mut place: Place,
         applicant: Option<Applicant>,
@@ -426,39 +423,6 @@
         }
     }
 
-    async fn serve_placement(
-        &self,
-        mut conversation: Conversation,
-        place: Place,
-        applicant: Option<Applicant>,
-    ) -> Result<(), String> {
-        let (queued, mut expected) = unbounded_channel();
-        let granted = {
-            let mut granting = pin!(self.shared.grant(place, applicant, Some(&queued)));
-            loop {
-                tokio::select! {
-                    biased;
-                    granted = &mut granting => break granted,
-                    Some(expected_ms) = expected.recv() => {
-                        conversation.send(&Answer::Queued { expected_ms }).await?;
-                    }
-                    () = conversation.ended() => return Ok(()),
-                }
-            }
-        };
-        let (answer, held) = match granted {
-            Ok((granted, held)) => (Answer::Granted(Box::new(granted)), Some(held)),
-            Err(NotGranted::Refused(refusal)) => (Answer::Refused(refusal), None),
-            Err(e) => return Err(e.to_string()),
-        };
-        counter!("chestnutstage_placed_for_peers_total").increment(1);
-        let sent = conversation.send(&answer).await;
-        let Some(held) = held else { return sent };
-        sent?;
-        hold(conversation, &held).await;
-        Ok(())
-    }
-
     async fn serve_adoption(
         &self,
         conversation: Conversation,
@@ -474,7 +438,7 @@
 }
 
 /// Holds a grant for a peer until its stream ends.
-async fn hold(mut conversation: Conversation, held: &HeldGrant) {
+pub(crate) async fn hold(mut conversation: Conversation, held: &HeldGrant) {
     loop {
         match conversation.receive::<FirstEventArrived>().await {
             Ok(Some(_)) => {
